--- /dev/null
+++ b/foxtailproxy/admin.py
@@ -0,0 +1,203 @@
+"""The admin port: status and control for operators, announcements of the upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from klein import Klein
+from twisted.web.server import Site
+
+from foxtailproxy import __version__
+from foxtailproxy.metrics import MetricsExport
+from foxtailproxy.models.messages import Announcement, MemberRecord
+
+if TYPE_CHECKING:
+    from foxtailproxy.node import Node
+
+MAX_BODY_BYTES = 65536
+
+
+class AdminError(msgspec.Struct):
+    """The JSON body of an error."""
+
+    error: str
+    detail: str = ""
+
+
+class StatusReport(msgspec.Struct):
+    """What a node tells of itself; times in milliseconds."""
+
+    version: str
+    state: str
+    me: MemberRecord
+    config_generation: int
+    config_change: str
+    upstream: str
+    running: int
+    queued: int
+    slots: int
+    service_ms: float
+    members: list[MemberRecord]
+    ejected: list[str]
+    traffic: dict[str, int]
+    platform: dict[str, int]
+    calls: dict[str, int]
+
+
+class SuspectReport(msgspec.Struct):
+    """A request that was running when upstreams died."""
+
+    fingerprint: str
+    upstreams: list[str]
+    quarantined: bool
+
+
+class AdminSite:
+    """The HTTP interface of one node for its operators and its upstream."""
+
+    app = Klein()
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._export: MetricsExport | None = None
+
+    def site(self) -> Site:
+        """A site to listen with."""
+        site = Site(self.app.resource())
+        site.noisy = False
+        return site
+
+    @app.route("/status", methods=["GET"])
+    def status(self, request: Any) -> bytes:
+        """State, members and counters."""
+        return _json(request, self._status())
+
+    def _status(self) -> StatusReport:
+        node = self._node
+        load = node.target.load()
+        generation, change = node.config.mark()
+        upstream = "none" if node.target.announcement is None else "serving"
+        if node.target.leaving:
+            upstream = "leaving"
+        elif node.target.down:
+            upstream = "down"
+        return StatusReport(
+            version=__version__,
+            state=node.core.name,
+            me=node.table.me,
+            config_generation=generation,
+            config_change=change,
+            upstream=upstream,
+            running=load.running,
+            queued=load.queued,
+            slots=load.slots,
+            service_ms=load.service_ms,
+            members=sorted(node.table.by_id.values(), key=lambda member: member.node_id),
+            ejected=[name for name, view in node.router.by_id.items() if view.health.ejected],
+            traffic=_fields(node.gossip.counters),
+            platform=_fields(node.platform.counters),
+            calls=self._calls(),
+        )
+
+    def _calls(self) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for (_, outcome), count in self._node.metrics.calls_by_outcome.items():
+            counts[outcome] = counts.get(outcome, 0) + count
+        counts["retries"] = self._node.metrics.retries
+        return counts
+
+    @app.route("/config", methods=["GET"])
+    def config(self, request: Any) -> bytes:
+        """The configuration in force."""
+        config = self._node.config.in_force
+        if config is None:
+            return _error(request, 404, "no-configuration")
+        return _json(request, config)
+
+    @app.route("/histograms", methods=["GET"])
+    def histograms(self, request: Any) -> bytes:
+        """Latency of each class and tenant."""
+        return _json(request, self._node.metrics.summaries())
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request: Any) -> bytes:
+        """All metrics, in the text form that Prometheus reads."""
+        if self._export is None:
+            self._export = MetricsExport(self._node.metrics, self._gauges)
+        request.setHeader("content-type", "text/plain; version=0.0.4")
+        return self._export.text()
+
+    def _gauges(self) -> dict[str, float]:
+        load = self._node.target.load()
+        return {
+            "running": load.running,
+            "queued": load.queued,
+            "slots": load.slots,
+            "config_generation": self._node.config.mark()[0],
+            "gossip_sent_bytes": self._node.gossip.counters.sent_bytes,
+            "gossip_paid_sent_bytes": self._node.gossip.counters.paid_sent_bytes,
+            "platform_reads": self._node.platform.counters.reads,
+            "platform_writes": self._node.platform.counters.writes,
+            "platform_watches": self._node.platform.counters.watches,
+            "retries": self._node.metrics.retries,
+        }
+
+    @app.route("/announce", methods=["POST"])
+    def announce(self, request: Any) -> bytes:
+        """The upstream says that it serves, once a second or so."""
+        try:
+            announcement = msgspec.json.decode(
+                request.content.read(MAX_BODY_BYTES), type=Announcement
+            )
+        except msgspec.MsgspecError as error:
+            return _error(request, 400, "bad-announcement", str(error))
+        if self._node.core.name != "serving":
+            return _error(request, 409, "node-draining")
+        self._node.target.announce(announcement)
+        return _json(request, announcement)
+
+    @app.route("/leave", methods=["POST"])
+    def leave(self, request: Any) -> bytes:
+        """The upstream says that it takes no new work; tells how much is left."""
+        self._node.target.leave()
+        load = self._node.target.load()
+        return _json(request, {"running": load.running, "queued": load.queued})
+
+    @app.route("/drain", methods=["POST"])
+    def drain(self, request: Any) -> bytes:
+        """An operator takes the node out of service; its process ends when it is done."""
+        self._node.drain()
+        return _json(request, {"state": self._node.core.name})
+
+    @app.route("/quarantine", methods=["GET"])
+    def quarantine(self, request: Any) -> bytes:
+        """Requests that were running when upstreams died."""
+        book = self._node.config.book
+        limit = 0 if book is None else book.fleet.crash_limit
+        reports = [
+            SuspectReport(suspect.fingerprint, suspect.upstreams, len(suspect.upstreams) >= limit)
+            for suspect in self._node.quarantine.by_fingerprint.values()
+        ]
+        return _json(request, reports)
+
+    @app.route("/quarantine/<fingerprint>", methods=["DELETE"])
+    def release(self, request: Any, fingerprint: str) -> bytes:
+        """An operator lets a request run again."""
+        if not self._node.quarantine.release(fingerprint):
+            return _error(request, 404, "not-suspect", fingerprint)
+        return _json(request, {"released": fingerprint})
+
+
+def _json(request: Any, value: Any) -> bytes:
+    request.setHeader("content-type", "application/json")
+    return msgspec.json.encode(value) + b"\n"
+
+
+def _error(request: Any, status: int, error: str, detail: str = "") -> bytes:
+    request.setResponseCode(status)
+    return _json(request, AdminError(error, detail))
+
+
+def _fields(counters: Any) -> dict[str, int]:
+    return {name: getattr(counters, name) for name in counters.__slots__}
--- /dev/null
+++ b/foxtailproxy/call.py
@@ -0,0 +1,83 @@
+"""One request on its way through the nodes."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from foxtailproxy.config.rules import Match
+from foxtailproxy.http.body import BodyStream
+
+if TYPE_CHECKING:
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.http.messages import RequestHead
+    from foxtailproxy.models.rules import ClassRule, ServiceRule
+
+MAX_DEPTH = 16
+"""Calls that may stand behind one another; more is taken as a loop."""
+
+FINGERPRINT_BYTES = 16
+
+
+@dataclass(slots=True)
+class Call:
+    """A request with what the rules say of it.
+
+    `deadline_ms` is a moment of this node's clock. `payload` holds the body where it is whole in
+    memory, so that it can be sent again; otherwise the body streams once from `stream`.
+    """
+
+    head: RequestHead
+    service: ServiceRule
+    rule: ClassRule
+    tenant: str
+    deadline_ms: float
+    depth: int
+    payload: bytes | None
+    stream: BodyStream | None = None
+    key: str = ""
+    crashed_upstreams: list[str] = field(default_factory=list)
+    attempt_id: str = field(default_factory=lambda: new_id())
+    fingerprint: str = ""
+
+    @property
+    def match(self) -> Match:
+        """The rules of the call."""
+        return Match(self.service, self.rule)
+
+    @property
+    def class_key(self) -> str:
+        """The class, unique over all services."""
+        return f"{self.service.name}/{self.rule.name}"
+
+    @property
+    def replayable(self) -> bool:
+        """Whether the body can be sent more than once."""
+        return self.payload is not None
+
+    def remaining_ms(self, clock: Clock) -> float:
+        """Time left until the deadline; negative once it has passed."""
+        return self.deadline_ms - clock.now_ms()
+
+    def body(self) -> BodyStream:
+        """The body for one attempt."""
+        if self.payload is not None:
+            return BodyStream.of(self.payload)
+        assert self.stream is not None
+        return self.stream
+
+
+def new_id() -> str:
+    """A unique identifier for an attempt, a claim or a process."""
+    return uuid.uuid4().hex
+
+
+def fingerprint_of(service: str, head: RequestHead, payload: bytes | None) -> str:
+    """A digest that is the same for the same request to the same service."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (service.encode(), head.method, head.target, payload or b""):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/foxtailproxy/claims.py
@@ -0,0 +1,183 @@
+"""Claims on idempotency keys: one dispatch for each key, decided by the platform.
+
+A claim is an object that is created by a conditional update before the call is dispatched, so of
+two claims of one key one wins, however long the other's owner was paused. The owner keeps the
+outcome in memory for whoever sends the same key again.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from expression import Error, Ok, Result
+
+from foxtailproxy.call import Call, new_id
+from foxtailproxy.http.errors import HttpError
+from foxtailproxy.models.messages import ClaimRecord, StoredObject
+from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from foxtailproxy.platform_client import Conflict, Unreachable
+from foxtailproxy.runs import RunTable, SharedRun
+
+if TYPE_CHECKING:
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.models.messages import MemberRecord
+    from foxtailproxy.models.settings import LimitsSection
+    from foxtailproxy.peer_client import PeerClient
+    from foxtailproxy.platform_client import PlatformClient, PlatformFailure
+
+log = structlog.get_logger()
+
+CLAIM_TRIES = 3
+"""Claims tried for one call while others take and give back the same key."""
+
+REMEMBER_MS = 600_000
+"""Time that a claim's outcome, without its answer, stays known to its owner."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """This node may dispatch the call of one key."""
+
+    name: str
+    version: int
+    run: SharedRun
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """Another call holds the key; `stored` is its claim."""
+
+    stored: StoredObject
+    record: ClaimRecord
+
+
+ClaimFailure = Taken | NotRun | Unknown
+
+
+class Claims:
+    """Takes, gives back and looks up claims for this node."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: LimitsSection,
+        platform: PlatformClient,
+        peers: PeerClient,
+        me: MemberRecord,
+    ) -> None:
+        self.runs = RunTable(clock, limits.kept_answer_bytes, limits.kept_answer_ms)
+        self._clock = clock
+        self._limits = limits
+        self._platform = platform
+        self._peers = peers
+        self._me = me
+
+    async def take(self, call: Call) -> Result[Claim, Outcome]:
+        """Claim the key of a call.
+
+        Fails with the outcome to give to the caller: that of the call which holds the key, or a
+        refusal.
+        """
+        name = object_name(call)
+        version: int | None = None
+        for _ in range(CLAIM_TRIES):
+            claimed = await self._write(name, call, version)
+            if claimed.is_ok():
+                return Ok(claimed.ok)
+            failure = claimed.error
+            if not isinstance(failure, Taken):
+                return Error(Error(failure))
+            outcome = await self._outcome_of(failure, call)
+            if not _given_back(outcome):
+                return Error(outcome)
+            version = failure.stored.version
+        return Error(Error(NotRun(NotRunReason.OVERLOADED)))
+
+    async def settle(self, claim: Claim, outcome: Outcome) -> None:
+        """Keep the outcome of a claimed call; the key of one that did not run is given back."""
+        await claim.run.settle(outcome, self._limits.replay_bytes)
+        if outcome.is_error() and isinstance(outcome.error, NotRun):
+            await self._platform.delete(claim.name, claim.version)
+
+    async def _write(
+        self, name: str, call: Call, version: int | None
+    ) -> Result[Claim, ClaimFailure]:
+        claim_id = new_id()
+        run = self.runs.open(claim_id, self._clock.now_ms() + REMEMBER_MS)
+        record = ClaimRecord(
+            claim_id,
+            self._me.node_id,
+            self._me.boot_id,
+            self._me.address,
+            self._me.peer_port,
+            call.fingerprint,
+        )
+        value = msgspec.json.encode(record).decode()
+        if version is None:
+            written = await self._platform.create(name, value)
+        else:
+            written = await self._platform.update(name, value, version)
+        stored = written
+        if written.is_error():
+            stored = await self._platform.read(name)
+        result = self._judge(name, claim_id, stored, written)
+        if result.is_ok():
+            return Ok(Claim(name, result.ok, run))
+        # Whatever becomes of the write, this claim will never be dispatched.
+        run.fail(NotRun(NotRunReason.SEALED))
+        return Error(result.error)
+
+    def _judge(
+        self,
+        name: str,
+        claim_id: str,
+        stored: Result[StoredObject, PlatformFailure],
+        written: Result[StoredObject, PlatformFailure],
+    ) -> Result[int, ClaimFailure]:
+        """Decide from what the platform says who holds the key; `Ok` with the claim's version."""
+        if stored.is_error():
+            log.warning("claim_failed", name=name, cause=repr(stored.error))
+            lost_race = written.is_error() and isinstance(written.error, Conflict)
+            if lost_race and not isinstance(stored.error, Unreachable):
+                return Error(NotRun(NotRunReason.OVERLOADED))
+            return Error(NotRun(NotRunReason.PLATFORM_DOWN))
+        try:
+            record = msgspec.json.decode(stored.ok.value, type=ClaimRecord)
+        except msgspec.MsgspecError:
+            log.error("claim_malformed", name=name)
+            return Error(Unknown(UnknownReason.CLAIMED_ELSEWHERE))
+        if record.claim_id == claim_id:
+            return Ok(stored.ok.version)
+        return Error(Taken(stored.ok, record))
+
+    async def _outcome_of(self, taken: Taken, call: Call) -> Outcome:
+        """The outcome of the call that holds the key."""
+        record = taken.record
+        if record.fingerprint != call.fingerprint:
+            return Error(NotRun(NotRunReason.KEY_REUSED))
+        try:
+            return await self._peers.ask_claim(
+                record.claim_id, call, record.address, record.peer_port
+            )
+        except HttpError:
+            return Error(Unknown(UnknownReason.CLAIMED_ELSEWHERE))
+
+
+def _given_back(outcome: Outcome) -> bool:
+    """Whether the holder of a key will never run its call."""
+    if outcome.is_ok() or not isinstance(outcome.error, NotRun):
+        return False
+    return outcome.error.reason is not NotRunReason.KEY_REUSED
+
+
+def object_name(call: Call) -> str:
+    """Name of the object that holds the claim of a call's key."""
+    digest = hashlib.blake2b(digest_size=20)
+    for part in (call.tenant, call.key):
+        encoded = part.encode("latin-1", "replace")
+        digest.update(len(encoded).to_bytes(4, "big") + encoded)
+    return f"claims/{call.service.name}/{digest.hexdigest()}"
--- /dev/null
+++ b/foxtailproxy/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the commands of the command line do."""
--- /dev/null
+++ b/foxtailproxy/commands/client.py
@@ -0,0 +1,56 @@
+"""Runs one asynchronous command of the operators' client in the reactor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgspec
+import treq
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+
+from foxtailproxy.exceptions import AnswerError, UnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+Returned = TypeVar("Returned")
+
+TIMEOUT_S = 10
+
+
+def run_async(coroutine: Coroutine[Any, Any, Returned]) -> Returned:
+    """Run a coroutine to its end and return its result or raise its error."""
+    results: list[Returned] = []
+    errors: list[BaseException] = []
+    loop: Any = reactor
+
+    def begin() -> None:
+        done = ensureDeferred(coroutine)
+        done.addCallbacks(results.append, lambda failure: errors.append(failure.value))
+        done.addBoth(lambda _: loop.stop())
+
+    loop.callWhenRunning(begin)
+    loop.run()
+    if errors:
+        raise errors[0]
+    return results[0]
+
+
+async def ask_node(method: str, address: str, path: str, model: type[Returned]) -> Returned:
+    """Call the admin port of the node at `address`.
+
+    Raises `UnreachableError` or `AnswerError`.
+    """
+    url = f"http://{address}{path}"
+    try:
+        response = await treq.request(method, url, timeout=TIMEOUT_S, persistent=False)
+        body = await treq.content(response)
+    except Exception as error:
+        raise UnreachableError(f"{url}: {type(error).__name__}") from error
+    if response.code >= 300:
+        raise AnswerError(f"{url}: status {response.code}: {body.decode('utf-8', 'replace')}")
+    try:
+        return msgspec.json.decode(body, type=model)
+    except msgspec.MsgspecError as error:
+        raise AnswerError(f"{url}: {error}") from error
--- /dev/null
+++ b/foxtailproxy/commands/config.py
@@ -0,0 +1,150 @@
+"""`foxtailproxy config`: check, compare, apply and show the configuration."""
+
+from __future__ import annotations
+
+import getpass
+from typing import Any
+
+import msgspec
+from twisted.internet import reactor
+
+from foxtailproxy.call import new_id
+from foxtailproxy.commands.client import ask_node
+from foxtailproxy.config.difference import difference
+from foxtailproxy.config.rules import format_rules, parse_rules
+from foxtailproxy.config.settings import read_text
+from foxtailproxy.config_sync import CONFIG_NAME
+from foxtailproxy.exceptions import AnswerError, ConflictError, UnreachableError
+from foxtailproxy.models.messages import ConfigObject, StoredObject
+from foxtailproxy.models.settings import PlatformSection
+from foxtailproxy.platform_client import Conflict, Missing, PlatformClient, PlatformFailure
+
+READ_BACK_TRIES = 5
+
+
+class CheckReport(msgspec.Struct):
+    """What a valid configuration declares."""
+
+    services: int
+    classes: int
+
+
+class ApplyReport(msgspec.Struct):
+    """A configuration that the platform accepted."""
+
+    generation: int
+    change_id: str
+    difference: str
+
+
+class CurrentConfig(msgspec.Struct):
+    """The configuration that the platform holds; `version` is 0 where there is none."""
+
+    version: int
+    config: ConfigObject | None
+
+
+def read_rules(path: str) -> str:
+    """The configuration in a file, in its standard form. Raises `SettingsError`."""
+    return format_rules(parse_rules(read_text(path), path))
+
+
+def check(path: str) -> CheckReport:
+    """Check a configuration file. Raises `SettingsError` or `FileError`."""
+    rules = parse_rules(read_text(path), path)
+    return CheckReport(len(rules.services), len(rules.classes))
+
+
+def open_platform(url: str) -> PlatformClient:
+    """A client for the platform at `url`."""
+    loop: Any = reactor
+    return PlatformClient(loop, PlatformSection(url, timeout_ms=5000))
+
+
+async def show(platform: PlatformClient) -> CurrentConfig:
+    """The configuration at the platform. Raises `UnreachableError` or `AnswerError`."""
+    stored = await platform.read(CONFIG_NAME)
+    if stored.is_ok():
+        return CurrentConfig(stored.ok.version, _decode(stored.ok))
+    if isinstance(stored.error, Missing):
+        return CurrentConfig(0, None)
+    raise _unreachable(stored.error)
+
+
+async def compare(platform: PlatformClient, path: str) -> str:
+    """The difference that applying a file would make."""
+    current = await show(platform)
+    return _difference(current, read_rules(path))
+
+
+async def apply(
+    platform: PlatformClient, path: str, expected: int | None, node: str | None
+) -> ApplyReport:
+    """Replace the configuration, unless another operator did so since it was read.
+
+    `expected` is the generation that the change was made against. A `node` given is asked for its
+    generation, so that a platform restored from an older state cannot bring an old one back.
+    Raises `ConflictError`, `UnreachableError`, `SettingsError`.
+    """
+    text = read_rules(path)
+    current = await show(platform)
+    held = 0 if current.config is None else current.config.generation
+    if expected is not None and expected != held:
+        raise ConflictError(f"expected generation {expected}, the platform holds {held}")
+    in_force = 0
+    if node is not None:
+        in_force = (await ask_node("GET", node, "/status", _NodeGeneration)).config_generation
+    change = ConfigObject(max(held, in_force) + 1, new_id(), getpass.getuser(), text)
+    value = msgspec.json.encode(change).decode()
+    if current.version:
+        written = await platform.update(CONFIG_NAME, value, current.version)
+    else:
+        written = await platform.create(CONFIG_NAME, value)
+    if written.is_error():
+        await _read_back(platform, change, current, written.error)
+    return ApplyReport(change.generation, change.change_id, _difference(current, text))
+
+
+class _NodeGeneration(msgspec.Struct):
+    """The part of a node's status that tells its configuration."""
+
+    config_generation: int
+
+
+async def _read_back(
+    platform: PlatformClient, change: ConfigObject, current: CurrentConfig, failure: PlatformFailure
+) -> None:
+    """Find out whether a write took effect whose answer was lost."""
+    for _ in range(READ_BACK_TRIES):
+        stored = await platform.read(CONFIG_NAME)
+        if stored.is_ok():
+            config = _decode(stored.ok)
+            if config.change_id == change.change_id:
+                return
+            if stored.ok.version != current.version or isinstance(failure, Conflict):
+                raise ConflictError(
+                    f"generation {config.generation} by {config.author} (change "
+                    f"{config.change_id}) was accepted first; yours was {change.generation} "
+                    f"(change {change.change_id}) and is not in force"
+                )
+    raise UnreachableError(
+        f"it is not known whether change {change.change_id} (generation {change.generation}) was "
+        "accepted: the platform's answer was lost; run `config show` and compare the change id"
+    )
+
+
+def _difference(current: CurrentConfig, text: str) -> str:
+    old = "" if current.config is None else current.config.text
+    generation = 0 if current.config is None else current.config.generation
+    return difference(old, text, f"generation {generation}", "new")
+
+
+def _decode(stored: StoredObject) -> ConfigObject:
+    try:
+        return msgspec.json.decode(stored.value, type=ConfigObject)
+    except msgspec.MsgspecError as error:
+        raise AnswerError(f"{CONFIG_NAME}: {error}") from error
+
+
+def _unreachable(failure: PlatformFailure) -> UnreachableError:
+    return UnreachableError(f"platform: {getattr(failure, 'cause', type(failure).__name__)}")
--- /dev/null
+++ b/foxtailproxy/commands/node.py
@@ -0,0 +1,46 @@
+"""`foxtailproxy node`: the daemon."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any
+
+import structlog
+from twisted.internet import reactor
+from twisted.internet.error import CannotListenError
+
+from foxtailproxy.config.settings import load_settings
+from foxtailproxy.exceptions import FoxtailproxyError
+from foxtailproxy.logs import configure_logs
+from foxtailproxy.node import Node
+
+log = structlog.get_logger()
+
+
+class ListenError(FoxtailproxyError):
+    """A port of the node is taken."""
+
+    exit_code = 7
+
+
+def run_node(path: str) -> None:
+    """Run a node until it is drained.
+
+    Raises `SettingsError`, `FileError` or `ListenError`.
+    """
+    settings = load_settings(path)
+    configure_logs()
+    node = Node(reactor, settings)
+    try:
+        node.start()
+    except CannotListenError as error:
+        raise ListenError(str(error)) from error
+
+    def stop(number: int, frame: Any) -> None:
+        reactor.callFromThread(node.drain)
+
+    loop: Any = reactor
+    node.core.closed.addCallback(lambda _: loop.stop())
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    loop.run(installSignalHandlers=False)
--- /dev/null
+++ b/foxtailproxy/config/ini.py
@@ -0,0 +1,124 @@
+"""Reads INI sections into the generated models and reports every problem at once."""
+
+from __future__ import annotations
+
+import configparser
+import re
+from dataclasses import dataclass
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints
+
+import msgspec
+from expression import Error, Ok, Result
+
+UNIT_BY_SUFFIX = {
+    "_bytes_per_s": "bytes/s",
+    "_percent": "%",
+    "_bytes": "bytes",
+    "_ms": "ms",
+}
+
+TRUE_WORDS = frozenset(("true", "yes", "on", "1"))
+FALSE_WORDS = frozenset(("false", "no", "off", "0"))
+
+SectionModel = TypeVar("SectionModel", bound=msgspec.Struct)
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing that is wrong in an INI file."""
+
+    section: str
+    key: str
+    value: str
+    reason: str
+
+    @property
+    def unit(self) -> str:
+        """Unit of the key's value, from its name; empty where it has none."""
+        for suffix, unit in UNIT_BY_SUFFIX.items():
+            if self.key.endswith(suffix):
+                return unit
+        return ""
+
+    def __str__(self) -> str:
+        unit = f" (unit: {self.unit})" if self.unit else ""
+        if not self.key:
+            return f"[{self.section}]: {self.reason}"
+        return f"[{self.section}] {self.key} = {self.value!r}: {self.reason}{unit}"
+
+
+def read_sections(text: str) -> Result[dict[str, dict[str, str]], Problem]:
+    """The sections of an INI text with their keys and raw values."""
+    parser = configparser.ConfigParser(interpolation=None, default_section="\0", strict=True)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        reason = " ".join(str(error).split())
+        return Error(Problem("", "", "", f"not an INI file: {reason}"))
+    return Ok({name: dict(parser.items(name)) for name in parser.sections()})
+
+
+def read_model(
+    model: type[SectionModel], section: str, raw: dict[str, str], given: dict[str, Any]
+) -> Result[SectionModel, list[Problem]]:
+    """Build `model` from one section; `given` holds fields that come from the section's name."""
+    problems: list[Problem] = []
+    values: dict[str, Any] = dict(given)
+    hints = get_type_hints(model, include_extras=True)
+    fields = {field.name: field for field in msgspec.structs.fields(model)}
+    for key in raw:
+        if key not in fields or key in given:
+            known = ", ".join(sorted(set(fields) - set(given)))
+            problems.append(Problem(section, key, raw[key], f"unknown key; known: {known}"))
+    for name, field in fields.items():
+        if name in raw and name not in given:
+            converted = _convert(hints[name], section, name, raw[name])
+            if converted.is_ok():
+                values[name] = converted.ok
+            else:
+                problems.append(converted.error)
+        elif field.required and name not in given:
+            problems.append(Problem(section, name, "", "missing"))
+    if problems:
+        return Error(problems)
+    try:
+        return Ok(msgspec.convert(values, model))
+    except msgspec.ValidationError as error:
+        return Error([Problem(section, "", "", plain_reason(error))])
+
+
+def _convert(hint: Any, section: str, key: str, text: str) -> Result[Any, Problem]:
+    base = hint
+    while get_origin(base) is not None and get_origin(base) is not list:
+        base = get_args(base)[0]
+    try:
+        value = _raw_value(base, text.strip())
+        return Ok(msgspec.convert(value, hint, strict=False))
+    except (msgspec.ValidationError, ValueError) as error:
+        return Error(Problem(section, key, text, plain_reason(error)))
+
+
+def _raw_value(base: Any, text: str) -> Any:
+    if base is list or get_origin(base) is list:
+        return [part for part in re.split(r"[\s,]+", text) if part]
+    if base is bool:
+        if text.lower() in TRUE_WORDS:
+            return True
+        if text.lower() in FALSE_WORDS:
+            return False
+        raise ValueError("expected true or false")
+    return text
+
+
+def plain_reason(error: Exception) -> str:
+    """The words of a validation error, without the path that names the field."""
+    return str(error).split(" - at ")[0].replace("`", "")
+
+
+def format_value(value: Any) -> str:
+    """A value as it is written in INI."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list):
+        return " ".join(value)
+    return str(value)
--- /dev/null
+++ b/foxtailproxy/config/rules.py
@@ -0,0 +1,160 @@
+"""The operators' configuration: parsing, checks across sections, printing and look-up."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from foxtailproxy.config.ini import Problem, format_value, read_model, read_sections
+from foxtailproxy.exceptions import SettingsError
+from foxtailproxy.models.rules import ClassRule, FleetRule, Rules, ServiceRule
+
+FLEET = "fleet"
+SERVICE = "service"
+CLASS = "class"
+
+
+def parse_rules(text: str, source: str) -> Rules:
+    """Read a configuration; `source` names it in errors. Raises `SettingsError`."""
+    sections = read_sections(text)
+    if sections.is_error():
+        raise SettingsError(source, [sections.error])
+    reader = _RulesReader()
+    for name, raw in sections.ok.items():
+        reader.read(name, raw)
+    reader.check()
+    if reader.problems:
+        raise SettingsError(source, list(reader.problems))
+    return Rules(reader.fleet, reader.services, reader.classes)
+
+
+class _RulesReader:
+    """Collects the sections of one configuration and what is wrong with them."""
+
+    def __init__(self) -> None:
+        self.fleet = FleetRule()
+        self.services: list[ServiceRule] = []
+        self.classes: list[ClassRule] = []
+        self.problems: list[Problem] = []
+
+    def read(self, section: str, raw: dict[str, str]) -> None:
+        """Take one section."""
+        kind, _, name = section.partition(" ")
+        if section == FLEET:
+            self._add(FleetRule, section, raw, {})
+        elif kind == SERVICE and name:
+            self._add(ServiceRule, section, raw, {"name": name})
+        elif kind == CLASS and name.count("/") == 1:
+            service, class_name = name.split("/")
+            self._add(ClassRule, section, raw, {"service": service, "name": class_name})
+        else:
+            reason = "unknown section; known: fleet, service NAME, class SERVICE/NAME"
+            self.problems.append(Problem(section, "", "", reason))
+
+    def _add(
+        self, model: type[Any], section: str, raw: dict[str, str], given: dict[str, str]
+    ) -> None:
+        result = read_model(model, section, raw, given)
+        if result.is_error():
+            self.problems.extend(result.error)
+        elif isinstance(result.ok, FleetRule):
+            self.fleet = result.ok
+        elif isinstance(result.ok, ServiceRule):
+            self.services.append(result.ok)
+        else:
+            self.classes.append(result.ok)
+
+    def check(self) -> None:
+        """Check what concerns more than one section."""
+        by_host: dict[str, str] = {}
+        names = {service.name for service in self.services}
+        for service in self.services:
+            for host in service.hosts:
+                owner = by_host.setdefault(host.lower(), service.name)
+                if owner != service.name:
+                    section = f"{SERVICE} {service.name}"
+                    reason = f"already names service {owner}"
+                    self.problems.append(Problem(section, "hosts", host, reason))
+        for rule in self.classes:
+            section = f"{CLASS} {rule.service}/{rule.name}"
+            if rule.service not in names:
+                self.problems.append(Problem(section, "", "", f"no service {rule.service!r}"))
+            if rule.hold_ms > rule.deadline_ms:
+                reason = f"longer than deadline_ms = {rule.deadline_ms}"
+                self.problems.append(Problem(section, "hold_ms", str(rule.hold_ms), reason))
+
+
+def format_rules(rules: Rules) -> str:
+    """The configuration as INI, the same for the same rules; keys at their default are left out."""
+    services = sorted(rules.services, key=lambda service: service.name)
+    classes = sorted(rules.classes, key=lambda rule: (rule.service, rule.name))
+    parts = [_format_section(FLEET, rules.fleet, ())]
+    for service in services:
+        parts.append(_format_section(f"{SERVICE} {service.name}", service, ("name",)))
+        for rule in classes:
+            if rule.service == service.name:
+                section = f"{CLASS} {rule.service}/{rule.name}"
+                parts.append(_format_section(section, rule, ("service", "name")))
+    return "\n".join(parts)
+
+
+def _format_section(section: str, model: msgspec.Struct, named: tuple[str, ...]) -> str:
+    lines = [f"[{section}]"]
+    for field in msgspec.structs.fields(model):
+        value = getattr(model, field.name)
+        if field.name in named or _is_default(field, value):
+            continue
+        lines.append(f"{field.name} = {format_value(value)}")
+    return "\n".join(lines) + "\n"
+
+
+def _is_default(field: Any, value: Any) -> bool:
+    if field.default_factory is not msgspec.NODEFAULT:
+        return value == field.default_factory()
+    return field.default is not msgspec.NODEFAULT and value == field.default
+
+
+@dataclass(frozen=True, slots=True)
+class Match:
+    """The service and class that a request belongs to."""
+
+    service: ServiceRule
+    rule: ClassRule
+
+
+class RuleBook:
+    """Finds the rules for a request."""
+
+    def __init__(self, rules: Rules) -> None:
+        self.fleet = rules.fleet
+        self.service_by_name = {service.name: service for service in rules.services}
+        self._service_by_host = {
+            host.lower(): service for service in rules.services for host in service.hosts
+        }
+        self._classes_by_service: dict[str, list[ClassRule]] = {}
+        for rule in sorted(rules.classes, key=lambda rule: -len(rule.path_prefix)):
+            self._classes_by_service.setdefault(rule.service, []).append(rule)
+        self._class_by_key = {(rule.service, rule.name): rule for rule in rules.classes}
+
+    def match(self, host: str, method: str, path: str) -> Match | None:
+        """The service that `host` names and the class of the request, or `None`.
+
+        A request that fits no class gets one that runs at most once.
+        """
+        service = self._service_by_host.get(host.lower().partition(":")[0])
+        if service is None:
+            return None
+        for rule in self._classes_by_service.get(service.name, ()):
+            if path.startswith(rule.path_prefix) and (not rule.methods or method in rule.methods):
+                return Match(service, rule)
+        return Match(service, ClassRule(service.name, "default"))
+
+    def find(self, service: str, class_name: str) -> Match | None:
+        """The rules of a class by its name, or `None` where the service is not known."""
+        found = self.service_by_name.get(service)
+        if found is None:
+            return None
+        rule = self._class_by_key.get((service, class_name))
+        return Match(found, rule or ClassRule(service, class_name))
--- /dev/null
+++ b/foxtailproxy/config_sync.py
@@ -0,0 +1,157 @@
+"""The configuration in force: the newest that the platform or any other node has shown."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from twisted.internet.defer import ensureDeferred
+
+from foxtailproxy.config.rules import RuleBook, parse_rules
+from foxtailproxy.exceptions import SettingsError
+from foxtailproxy.models.messages import ConfigObject, MemberState
+from foxtailproxy.platform_client import Missing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.membership import MemberTable
+    from foxtailproxy.models.messages import MemberRecord, ObjectListing
+    from foxtailproxy.peer_client import PeerClient
+    from foxtailproxy.platform_client import PlatformClient
+
+log = structlog.get_logger()
+
+CONFIG_PREFIX = "config/"
+CONFIG_NAME = "config/current"
+
+WATCHERS_PER_DATA_CENTER = 2
+"""Nodes of a data centre that watch the platform; the others hear from them."""
+
+CHECK_INTERVAL_MS = 500
+"""Time between two looks whether this node is to watch."""
+
+RETRY_MS = 300
+"""Shortest pause after the platform did not answer; the longest is three times that."""
+
+
+def order_of(config: ConfigObject | None) -> tuple[int, str]:
+    """Grows with each newer configuration; the change id decides between two of one generation."""
+    return (0, "") if config is None else (config.generation, config.change_id)
+
+
+class ConfigSync:
+    """Adopts configurations and never goes back to an older one."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        platform: PlatformClient,
+        peers: PeerClient,
+        table: MemberTable,
+        rng: random.Random,
+        on_adopted: Callable[[RuleBook], None],
+    ) -> None:
+        self.in_force: ConfigObject | None = None
+        self.book: RuleBook | None = None
+        self._clock = clock
+        self._platform = platform
+        self._peers = peers
+        self._table = table
+        self._rng = rng
+        self._on_adopted = on_adopted
+        self._revision = 0
+        self._fetching: set[tuple[int, str]] = set()
+        self._closed = False
+
+    def start(self) -> None:
+        """Begin to watch, where this node is one of the watchers of its data centre."""
+        ensureDeferred(self._watch_forever())  # type: ignore[arg-type]
+
+    def close(self) -> None:
+        """Stop watching."""
+        self._closed = True
+
+    def mark(self) -> tuple[int, str]:
+        """Generation and change of the configuration in force."""
+        return order_of(self.in_force)
+
+    def offer(self, config: ConfigObject, source: str) -> bool:
+        """Adopt a configuration if it is newer; returns whether it was."""
+        if order_of(config) <= self.mark():
+            if order_of(config) < self.mark():
+                log.warning("config_older_ignored", generation=config.generation, source=source)
+            return False
+        try:
+            book = RuleBook(parse_rules(config.text, source))
+        except SettingsError as error:
+            log.error("config_invalid", generation=config.generation, problems=len(error.problems))
+            return False
+        self.in_force = config
+        self.book = book
+        log.info("config_adopted", generation=config.generation, source=source)
+        self._on_adopted(book)
+        return True
+
+    async def read_platform(self) -> bool:
+        """Read the configuration from the platform; returns whether the platform answered."""
+        stored = await self._platform.read(CONFIG_NAME)
+        if stored.is_error():
+            return isinstance(stored.error, Missing)
+        self._offer_stored(stored.ok.value)
+        return True
+
+    def seen(self, generation: int, change: str, member: MemberRecord) -> None:
+        """Another node has a configuration: fetch it if it is newer."""
+        mark = (generation, change)
+        if mark > self.mark() and mark not in self._fetching:
+            self._fetching.add(mark)
+            ensureDeferred(self._fetch(mark, member))  # type: ignore[arg-type]
+
+    async def _fetch(self, mark: tuple[int, str], member: MemberRecord) -> None:
+        config = await self._peers.fetch_config(member)
+        self._fetching.discard(mark)
+        if config is not None:
+            self.offer(config, member.node_id)
+
+    def watches(self) -> bool:
+        """Whether this node is one of the watchers of its data centre."""
+        me = self._table.me
+        names = [
+            record.node_id
+            for record in self._table.by_id.values()
+            if record.data_center == me.data_center and record.state is MemberState.alive
+        ]
+        names.sort(key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest())
+        return me.node_id in names[:WATCHERS_PER_DATA_CENTER]
+
+    async def _watch_forever(self) -> None:
+        while not self._closed:
+            if not self.watches():
+                await self._clock.sleep(CHECK_INTERVAL_MS)
+                continue
+            listing = await self._platform.watch(CONFIG_PREFIX, self._revision)
+            if listing.is_ok():
+                self._take(listing.ok)
+            else:
+                await self._clock.sleep(RETRY_MS * (1 + 2 * self._rng.random()))
+
+    def _take(self, listing: ObjectListing) -> None:
+        if listing.revision < self._revision:
+            log.warning("platform_went_back", revision=listing.revision, seen=self._revision)
+        self._revision = listing.revision
+        for stored in listing.objects:
+            if stored.name == CONFIG_NAME:
+                self._offer_stored(stored.value)
+
+    def _offer_stored(self, value: str) -> None:
+        try:
+            config = msgspec.json.decode(value, type=ConfigObject)
+        except msgspec.MsgspecError:
+            log.error("config_malformed")
+            return
+        self.offer(config, "platform")
--- /dev/null
+++ b/foxtailproxy/ejection.py
@@ -0,0 +1,136 @@
+"""Takes failing targets out of the choice, and lets them back by trial calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from automat import TypeMachineBuilder
+
+if TYPE_CHECKING:
+    from foxtailproxy.clock import Clock
+
+FAILURE_LIMIT = 5
+"""Failures in a row after which a target is ejected."""
+
+FIRST_EJECTION_MS = 1_000
+LONGEST_EJECTION_MS = 30_000
+
+MAX_EJECTED_SHARE = 0.5
+"""Share of a service's targets that may be ejected at the same time."""
+
+
+@dataclass(slots=True)
+class HealthCore:
+    """What is known of one target's answers."""
+
+    clock: Clock
+    failures: int = 0
+    ejections: int = 0
+    ejected: bool = False
+    trial_due_ms: float = 0.0
+
+    def eject(self) -> None:
+        """Take the target out, longer each time in a row."""
+        self.ejected = True
+        self.failures = 0
+        duration = min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2**self.ejections)
+        self.ejections += 1
+        self.trial_due_ms = self.clock.now_ms() + duration
+
+
+class HealthInputs(Protocol):
+    """What can happen to a target's health."""
+
+    def success(self) -> None:
+        """A call was answered."""
+
+    def failure(self) -> None:
+        """A call failed at the target."""
+
+    def limit_reached(self) -> None:
+        """Too many failures in a row."""
+
+    def trial(self) -> None:
+        """A trial call is sent."""
+
+
+_builder = TypeMachineBuilder(HealthInputs, HealthCore)
+_healthy = _builder.state("healthy")
+_ejected = _builder.state("ejected")
+_trial = _builder.state("trial")
+
+
+@_healthy.upon(HealthInputs.success).loop()
+def _healthy_success(inputs: HealthInputs, core: HealthCore) -> None:
+    core.failures = 0
+    core.ejections = 0
+
+
+@_healthy.upon(HealthInputs.failure).loop()
+def _healthy_failure(inputs: HealthInputs, core: HealthCore) -> None:
+    core.failures += 1
+
+
+@_healthy.upon(HealthInputs.limit_reached).to(_ejected)
+def _healthy_eject(inputs: HealthInputs, core: HealthCore) -> None:
+    core.eject()
+
+
+@_ejected.upon(HealthInputs.trial).to(_trial)
+def _begin_trial(inputs: HealthInputs, core: HealthCore) -> None:
+    core.trial_due_ms = core.clock.now_ms() + FIRST_EJECTION_MS
+
+
+@_trial.upon(HealthInputs.success).to(_healthy)
+def _trial_success(inputs: HealthInputs, core: HealthCore) -> None:
+    core.ejected = False
+    core.failures = 0
+
+
+@_trial.upon(HealthInputs.failure).to(_ejected)
+def _trial_failure(inputs: HealthInputs, core: HealthCore) -> None:
+    core.eject()
+
+
+_trial.upon(HealthInputs.trial).loop().returns(None)
+_trial.upon(HealthInputs.limit_reached).loop().returns(None)
+_ejected.upon(HealthInputs.success).loop().returns(None)
+_ejected.upon(HealthInputs.failure).loop().returns(None)
+_ejected.upon(HealthInputs.limit_reached).loop().returns(None)
+_healthy.upon(HealthInputs.trial).loop().returns(None)
+
+_build_health = _builder.build()
+
+
+class TargetHealth:
+    """Whether calls may be sent to one target, judged by the calls before."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._core = HealthCore(clock)
+        self._machine = _build_health(self._core)
+
+    @property
+    def ejected(self) -> bool:
+        """Whether the target is out of the choice."""
+        return self._core.ejected
+
+    @property
+    def trial_due(self) -> bool:
+        """Whether one call may be sent to an ejected target, to see whether it has recovered."""
+        return self._core.ejected and self._clock.now_ms() >= self._core.trial_due_ms
+
+    def begin_trial(self) -> None:
+        """A trial call is sent."""
+        self._machine.trial()
+
+    def success(self) -> None:
+        """A call was answered."""
+        self._machine.success()
+
+    def failure(self, may_eject: bool) -> None:
+        """A call failed at the target; `may_eject` tells whether too few are left otherwise."""
+        self._machine.failure()
+        if may_eject and self._core.failures >= FAILURE_LIMIT:
+            self._machine.limit_reached()
--- /dev/null
+++ b/foxtailproxy/entry.py
@@ -0,0 +1,354 @@
+"""Takes requests from callers and sees each one to its end."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import structlog
+from expression import Error, Ok, Result
+from twisted.internet.defer import ensureDeferred
+
+from foxtailproxy.call import MAX_DEPTH, Call, fingerprint_of, new_id
+from foxtailproxy.clock import cancel_timer
+from foxtailproxy.http import messages
+from foxtailproxy.http.body import DiscardSink
+from foxtailproxy.http.errors import HttpError
+from foxtailproxy.outcome import (
+    Answer,
+    CallFailure,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from foxtailproxy.retry_budget import RetryBudget
+from foxtailproxy.routing import LOCAL_ID, Choice, LocalChoice, PeerChoice
+from foxtailproxy.wire import ATTEMPT, DEADLINE, DEPTH, KEY, failure_response, read_int, without_own
+
+if TYPE_CHECKING:
+    from foxtailproxy.claims import Claim, Claims
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.config.rules import Match
+    from foxtailproxy.config_sync import ConfigSync
+    from foxtailproxy.http.server import ServerExchange
+    from foxtailproxy.metrics import Metrics
+    from foxtailproxy.models.settings import LimitsSection
+    from foxtailproxy.peer_client import PeerClient
+    from foxtailproxy.quarantine import Quarantine
+    from foxtailproxy.routing import Router
+    from foxtailproxy.target import Target
+
+log = structlog.get_logger()
+
+DEADLINE_GRACE_MS = 50
+"""Time after a call's deadline in which a target's own refusal may still arrive."""
+
+MAX_KEY_LENGTH = 255
+
+SERVER_ERROR = 500
+
+FINAL_REASONS = frozenset(
+    (
+        NotRunReason.DEADLINE,
+        NotRunReason.CANCELLED,
+        NotRunReason.REQUEST_CUT,
+        NotRunReason.QUARANTINED,
+        NotRunReason.TOO_DEEP,
+        NotRunReason.HELD_TOO_LONG,
+    )
+)
+"""Refusals that another target would not change."""
+
+FAULT_REASONS = frozenset((NotRunReason.TARGET_DOWN, NotRunReason.UNREACHABLE))
+"""Refusals that count against a target's health."""
+
+
+class PendingCall:
+    """A call whose caller waits for the answer."""
+
+    def __init__(self, entry: Entry, exchange: ServerExchange, call: Call) -> None:
+        self.call = call
+        self._entry = entry
+        self._exchange = exchange
+        self._started_ms = entry.clock.now_ms()
+        self._answered = False
+        self._timer = entry.clock.call_later(
+            call.remaining_ms(entry.clock) + DEADLINE_GRACE_MS, self._overdue
+        )
+        exchange.on_lost = self._caller_lost
+
+    def finish(self, outcome: Outcome) -> None:
+        """Give the caller the outcome, unless it got another one before."""
+        cancel_timer(self._timer)
+        if self._answered:
+            if outcome.is_ok():
+                outcome.ok.body.attach(DiscardSink())
+            return
+        self._answered = True
+        self._entry.note(self.call, outcome, self._started_ms)
+        respond(self._exchange, self.call.attempt_id, outcome)
+
+    def _overdue(self) -> None:
+        self.finish(Error(Unknown(UnknownReason.DEADLINE)))
+        self._entry.cancel(self.call)
+
+    def _caller_lost(self) -> None:
+        self._entry.cancel(self.call)
+        self.finish(Error(Unknown(UnknownReason.CANCELLED)))
+
+
+class Entry:
+    """The way in for callers."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: LimitsSection,
+        config: ConfigSync,
+        target: Target,
+        router: Router,
+        peers: PeerClient,
+        claims: Claims,
+        quarantine: Quarantine,
+        metrics: Metrics,
+        log_calls: bool,
+    ) -> None:
+        self.clock = clock
+        self.pending = 0
+        self._limits = limits
+        self._config = config
+        self._target = target
+        self._router = router
+        self._peers = peers
+        self._claims = claims
+        self._quarantine = quarantine
+        self._metrics = metrics
+        self._log_calls = log_calls
+        self._retries = RetryBudget()
+        self._cancelled: set[str] = set()
+
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Serve one request of a caller."""
+        self.pending += 1
+        try:
+            received = await self._receive(exchange)
+            if received.is_error():
+                respond(exchange, new_id(), Error(received.error))
+                return
+            call = received.ok
+            pending = PendingCall(self, exchange, call)
+            pending.finish(await self._decide(call))
+            self._cancelled.discard(call.attempt_id)
+        finally:
+            self.pending -= 1
+
+    def cancel(self, call: Call) -> None:
+        """The caller has gone or was told the outcome; stop what may run again."""
+        self._cancelled.add(call.attempt_id)
+        self._target.cancel(call.attempt_id)
+        if call.rule.idempotent:
+            self._peers.cancel(call.attempt_id)
+
+    def note(self, call: Call, outcome: Outcome, started_ms: float) -> None:
+        """Count and log a call that has ended."""
+        elapsed = self.clock.now_ms() - started_ms
+        word = outcome_word(outcome)
+        self._metrics.record(call.class_key, call.tenant, word, elapsed)
+        if self._log_calls:
+            reason = "" if outcome.is_ok() else outcome.error.reason
+            log.info(
+                "call",
+                attempt=call.attempt_id,
+                rule=call.class_key,
+                outcome=word,
+                reason=reason,
+                ms=round(elapsed, 3),
+            )
+
+    # Receiving
+
+    async def _receive(self, exchange: ServerExchange) -> Result[Call, NotRun]:
+        headers = exchange.head.headers
+        match = self._match(exchange.head)
+        if match.is_error():
+            return Error(match.error)
+        depth = read_int(headers, DEPTH, 0) + 1
+        if depth > MAX_DEPTH:
+            return Error(NotRun(NotRunReason.TOO_DEEP))
+        key = messages.get_text(headers, KEY)
+        if len(key) > MAX_KEY_LENGTH:
+            return Error(NotRun(NotRunReason.BAD_REQUEST))
+        exchange.accept_body()
+        try:
+            whole = await exchange.body.buffer(self._limits.replay_bytes)
+        except HttpError:
+            return Error(NotRun(NotRunReason.REQUEST_CUT))
+        payload = exchange.body.held() if whole else None
+        service, rule = match.ok.service, match.ok.rule
+        allowed_ms = min(rule.deadline_ms, read_int(headers, DEADLINE, rule.deadline_ms))
+        call = Call(
+            head=replace(exchange.head, headers=without_own(headers)),
+            service=service,
+            rule=rule,
+            tenant=messages.get_text(headers, service.tenant_header.encode()),
+            deadline_ms=self.clock.now_ms() + allowed_ms,
+            depth=depth,
+            payload=payload,
+            stream=exchange.body,
+            key="" if rule.idempotent else key,
+            fingerprint=fingerprint_of(service.name, exchange.head, payload),
+        )
+        call.crashed_upstreams = self._quarantine.crashed_upstreams(call.fingerprint)
+        return Ok(call)
+
+    def _match(self, head: messages.RequestHead) -> Result[Match, NotRun]:
+        book = self._config.book
+        if book is None:
+            return Error(NotRun(NotRunReason.NO_CONFIGURATION))
+        host = messages.get_text(head.headers, b"host")
+        path = head.target.partition(b"?")[0].decode("latin-1")
+        match = book.match(host, head.method.decode(), path)
+        if match is None:
+            return Error(NotRun(NotRunReason.UNKNOWN_SERVICE))
+        return Ok(match)
+
+    # Deciding
+
+    async def _decide(self, call: Call) -> Outcome:
+        if self._blocked(call):
+            return Error(NotRun(NotRunReason.QUARANTINED))
+        if call.remaining_ms(self.clock) <= 0:
+            return Error(NotRun(NotRunReason.DEADLINE))
+        if not call.key:
+            return await self._dispatch(call)
+        self._metrics.claims += 1
+        claimed = await self._claims.take(call)
+        if claimed.is_error():
+            return claimed.error
+        outcome = await self._dispatch(call)
+        return await self._share(claimed.ok, outcome)
+
+    async def _share(self, claim: Claim, outcome: Outcome) -> Outcome:
+        """Keep a claimed call's outcome for those that send its key again."""
+        shared: list[Outcome] = []
+        claim.run.wait(shared.append)
+        settled = ensureDeferred(self._claims.settle(claim, outcome))
+        if not shared:
+            await settled
+        return shared[0]
+
+    def _blocked(self, call: Call) -> bool:
+        book = self._config.book
+        if book is None:
+            return False
+        fleet = book.fleet
+        return self._quarantine.blocked(call.fingerprint, fleet.crash_limit, fleet.quarantine_ms)
+
+    async def _dispatch(self, call: Call) -> Outcome:
+        """Send a call to one target after another until one answers."""
+        book = self._config.book
+        assert book is not None
+        self._retries.earn(book.fleet.retry_percent)
+        tried: set[str] = set()
+        uncertain: Unknown | None = None
+        outcome: Outcome = Error(NotRun(NotRunReason.NO_TARGET))
+        for number in range(call.rule.attempts):
+            if number and not self._may_retry(call, outcome):
+                break
+            choice = self._router.choose(
+                call.match, tried, len(call.payload or b"") + len(call.head.target)
+            )
+            if choice is None:
+                break
+            if number:
+                self._metrics.retries += 1
+            outcome = await self._send(choice, call)
+            tried.add(choice.view.member.node_id if isinstance(choice, PeerChoice) else LOCAL_ID)
+            if outcome.is_error() and isinstance(outcome.error, Unknown):
+                uncertain = outcome.error
+                self._note_crash(call, choice, outcome.error)
+        if uncertain is not None and outcome.is_error():
+            # One of the attempts may have run, whatever the last one says.
+            return Error(uncertain)
+        return outcome
+
+    def _may_retry(self, call: Call, outcome: Outcome) -> bool:
+        if call.attempt_id in self._cancelled or call.remaining_ms(self.clock) <= 0:
+            return False
+        if not call.replayable or not retriable(call, outcome) or self._blocked(call):
+            return False
+        return self._retries.spend(self.clock.now_ms())
+
+    async def _send(self, choice: Choice, call: Call) -> Outcome:
+        health = self._router.health_of(choice)
+        if isinstance(choice, LocalChoice):
+            outcome = await self._run_here(call)
+        else:
+            choice.view.sent()
+            outcome = await self._peers.run(call, choice.view.member)
+            choice.view.ended()
+        if is_fault(outcome):
+            self._router.failed(call.service.name, health)
+        elif outcome.is_ok():
+            health.success()
+            self._quarantine.completed(call.fingerprint)
+        return outcome
+
+    async def _run_here(self, call: Call) -> Outcome:
+        outcome = await self._target.run(call)
+        if outcome.is_error():
+            return outcome
+        try:
+            await outcome.ok.body.buffer(self._limits.replay_bytes)
+        except HttpError:
+            return Error(Unknown(UnknownReason.ANSWER_CUT))
+        return outcome
+
+    def _note_crash(self, call: Call, choice: Choice, failure: Unknown) -> None:
+        if not failure.crashed:
+            return
+        name = choice.view.member.node_id if isinstance(choice, PeerChoice) else "local"
+        call.crashed_upstreams = [*call.crashed_upstreams, name]
+
+
+def retriable(call: Call, outcome: Outcome) -> bool:
+    """Whether a call that ended so may be sent to another target."""
+    if outcome.is_ok():
+        answer: Answer = outcome.ok
+        return call.rule.idempotent and answer.head.status >= SERVER_ERROR and answer.body.ended
+    failure: CallFailure = outcome.error
+    if isinstance(failure, NotRun):
+        return failure.reason not in FINAL_REASONS
+    return call.rule.idempotent and failure.reason is not UnknownReason.DEADLINE
+
+
+def is_fault(outcome: Outcome) -> bool:
+    """Whether a call ended so through a fault of the target."""
+    if outcome.is_ok():
+        return outcome.ok.head.status >= SERVER_ERROR
+    failure: CallFailure = outcome.error
+    if isinstance(failure, NotRun):
+        return failure.reason in FAULT_REASONS
+    return failure.reason is not UnknownReason.CANCELLED
+
+
+def outcome_word(outcome: Outcome) -> str:
+    """The outcome in one word, for logs and counters."""
+    if outcome.is_ok():
+        return "answered"
+    return "not-run" if isinstance(outcome.error, NotRun) else "unknown"
+
+
+def respond(exchange: ServerExchange, attempt_id: str, outcome: Outcome) -> None:
+    """Give a caller its outcome."""
+    if outcome.is_error():
+        head, body = failure_response(outcome.error, attempt_id)
+        exchange.respond(head, body)
+        return
+    answer: Answer = outcome.ok
+    headers = messages.end_to_end(answer.head.headers)
+    headers.append((ATTEMPT, attempt_id.encode()))
+    head = messages.ResponseHead(answer.head.status, answer.head.reason, headers)
+    exchange.respond(head, answer.body)
--- /dev/null
+++ b/foxtailproxy/http/messages.py
@@ -0,0 +1,117 @@
+"""Heads of HTTP requests and responses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that concern one connection only."""
+
+FRAMING = frozenset((b"content-length", b"expect"))
+"""Headers that are written anew from the body at each hop."""
+
+BODILESS_STATUSES = frozenset((204, 304))
+
+HeaderList = list[tuple[bytes, bytes]]
+"""Names in lower case with their values, in the order received."""
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """The request line and headers of one request."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    http_version: str = "1.1"
+
+
+@dataclass(slots=True)
+class ResponseHead:
+    """The status line and headers of one response."""
+
+    status: int
+    reason: bytes
+    headers: HeaderList = field(default_factory=list)
+
+
+def get_header(headers: HeaderList, name: bytes) -> bytes | None:
+    """First value of the header `name`, or `None`."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def get_text(headers: HeaderList, name: bytes) -> str:
+    """First value of the header `name` as text, or an empty string."""
+    value = get_header(headers, name)
+    return "" if value is None else value.decode("latin-1")
+
+
+def end_to_end(headers: HeaderList) -> HeaderList:
+    """The headers that may be passed on to the next hop."""
+    named = connection_options(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and name not in FRAMING and name not in named
+    ]
+
+
+def connection_options(headers: HeaderList) -> frozenset[bytes]:
+    """Names listed in the Connection header, in lower case."""
+    value = get_header(headers, b"connection")
+    if value is None:
+        return frozenset()
+    return frozenset(part.strip().lower() for part in value.split(b","))
+
+
+def reason_of(status: int) -> bytes:
+    """The standard reason phrase of `status`."""
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Unknown"
+
+
+def format_request(head: RequestHead, length: int | None) -> bytes:
+    """A request head on the wire; `length` in bytes, or `None` for a chunked body."""
+    lines = [b"%s %s HTTP/1.1" % (head.method, head.target)]
+    lines.extend([b"%s: %s" % pair for pair in head.headers])
+    if length is None:
+        lines.append(b"transfer-encoding: chunked")
+    elif length or head.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d" % length)
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+def format_response(head: ResponseHead, framing: HeaderList) -> bytes:
+    """A response head on the wire, with the headers that frame its body."""
+    lines = [b"HTTP/1.1 %d %s" % (head.status, head.reason)]
+    lines.extend([b"%s: %s" % pair for pair in head.headers])
+    lines.extend([b"%s: %s" % pair for pair in framing])
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+def format_chunk(data: bytes) -> bytes:
+    """One chunk of a chunked body on the wire."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/foxtailproxy/http/server.py
@@ -0,0 +1,468 @@
+"""The server side of HTTP/1.1: reads requests and writes their responses in order."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import httptools
+import structlog
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory, Protocol
+from zope.interface import implementer
+
+from foxtailproxy.clock import cancel_timer
+from foxtailproxy.http import messages
+from foxtailproxy.http.body import BodyStream, DiscardSink
+from foxtailproxy.http.errors import BodyTooLarge, ConnectionCut, HttpError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from twisted.internet.interfaces import IDelayedCall
+
+    from foxtailproxy.clock import Clock
+
+log = structlog.get_logger()
+
+PIPELINE_LIMIT = 8
+"""Requests of one connection that may wait for their turn."""
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """Bounds for one connection; sizes in bytes, times in milliseconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_time_ms: int
+    idle_time_ms: int
+
+
+class RequestRejected(Exception):
+    """A request that cannot be served, with the status that says so."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class ServerExchange:
+    """One request and the response to it."""
+
+    def __init__(self, connection: ServerConnection, head: messages.RequestHead) -> None:
+        self.head = head
+        self.body = BodyStream(None, connection)
+        self.keep_alive = True
+        self.expects_continue = False
+        self.started = False
+        self.finished = False
+        self.lost = False
+        self.on_lost: Callable[[], None] | None = None
+        self._connection = connection
+        self._chunked = False
+        self._has_body = True
+        self._sending: BodyStream | None = None
+        self._remaining: int | None = None
+
+    def accept_body(self) -> None:
+        """Tell a client that waits for it to send its body."""
+        if self.expects_continue and not self.started and not self.body.ended:
+            self.expects_continue = False
+            self._connection.write(CONTINUE)
+
+    def interim(self, status: int, headers: messages.HeaderList) -> None:
+        """Send an interim response; does nothing once the final one has begun."""
+        if self.started or self.lost or self.head.http_version == "1.0":
+            return
+        head = messages.ResponseHead(status, messages.reason_of(status), headers)
+        self._connection.write(messages.format_response(head, []))
+
+    def respond(self, head: messages.ResponseHead, body: BodyStream) -> None:
+        """Send the final response and its body."""
+        if self.started or self.lost:
+            body.attach(DiscardSink())
+            return
+        self.started = True
+        self._sending = body
+        framing = self._frame(head, body)
+        self._connection.write(messages.format_response(head, framing))
+        body.attach(self)
+
+    def _frame(self, head: messages.ResponseHead, body: BodyStream) -> messages.HeaderList:
+        framing: messages.HeaderList = []
+        self._has_body = (
+            self.head.method != b"HEAD" and head.status not in messages.BODILESS_STATUSES
+        )
+        if not self._has_body:
+            if body.length is not None and head.status != 204 and body.length:
+                framing.append((b"content-length", b"%d" % body.length))
+        elif body.length is not None:
+            self._remaining = body.length
+            framing.append((b"content-length", b"%d" % body.length))
+        elif self.head.http_version == "1.0":
+            self.keep_alive = False
+        else:
+            self._chunked = True
+            framing.append((b"transfer-encoding", b"chunked"))
+        if self._connection.closing:
+            self.keep_alive = False
+        if not self.keep_alive:
+            framing.append((b"connection", b"close"))
+        elif self.head.http_version == "1.0":
+            framing.append((b"connection", b"keep-alive"))
+        return framing
+
+    def body_data(self, data: bytes) -> None:
+        """Send the next bytes of the response's body."""
+        if self.lost or not self._has_body or not data:
+            return
+        if self._remaining is not None:
+            self._remaining -= len(data)
+        self._connection.write(messages.format_chunk(data) if self._chunked else data)
+
+    def body_end(self) -> None:
+        """Finish the response."""
+        if self.lost or self.finished:
+            return
+        if self._has_body and self._remaining:
+            self.abort()
+            return
+        if self._chunked:
+            self._connection.write(messages.LAST_CHUNK)
+        self.finished = True
+        self._connection.exchange_finished(self)
+
+    def body_failed(self, error: HttpError) -> None:
+        """Cut the connection, so that the client can see that the response is not whole."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._connection.abort()
+
+    def pause_response(self) -> None:
+        """The client reads slowly: pause the body that is being sent."""
+        if self._sending is not None:
+            self._sending.pause()
+
+    def resume_response(self) -> None:
+        """The client reads again."""
+        if self._sending is not None:
+            self._sending.resume()
+
+    def connection_lost(self) -> None:
+        """The client has gone."""
+        self.lost = True
+        self.body.fail(ConnectionCut())
+        if self._sending is not None:
+            self._sending.resume()
+        if self.on_lost is not None and not self.finished:
+            self.on_lost()
+
+
+@implementer(IPushProducer)
+class ServerConnection(Protocol):
+    """One client's connection; its requests are served one at a time, in order."""
+
+    transport: Any = None
+
+    def __init__(
+        self,
+        handler: Callable[[ServerExchange], Awaitable[None]],
+        limits: ServerLimits,
+        clock: Clock,
+    ) -> None:
+        self.closing = False
+        self._handler = handler
+        self._limits = limits
+        self._clock = clock
+        self._parser = httptools.HttpRequestParser(self)
+        self._exchanges: deque[ServerExchange] = deque()
+        self._receiving: ServerExchange | None = None
+        self._url = b""
+        self._headers: messages.HeaderList = []
+        self._head_size = 0
+        self._in_head = False
+        self._timer: IDelayedCall | None = None
+        self._dead = False
+        self._pauses: set[str] = set()
+
+    # Twisted protocol
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the timers of a new connection."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._start_timer(self._limits.header_time_ms)
+        self.factory.connections.add(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what the client sent."""
+        if self._dead:
+            return
+        try:
+            self._parser.feed_data(data)
+            self._check_head_size(len(data))
+        except httptools.HttpParserUpgrade:
+            self._reject(501, "upgrade-not-supported")
+        except httptools.HttpParserCallbackError as error:
+            self._reject_cause(error.__context__)
+        except httptools.HttpParserError:
+            self._reject(400, "malformed-request")
+        except RequestRejected as error:
+            self._reject(error.status, error.reason)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Tell the exchanges that their client has gone."""
+        self._dead = True
+        cancel_timer(self._timer)
+        self.factory.connections.discard(self)
+        exchanges, self._exchanges = self._exchanges, deque()
+        for exchange in exchanges:
+            exchange.connection_lost()
+
+    # Back-pressure: the transport is paused while any reason stands.
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """The client reads slowly."""
+        if self._exchanges:
+            self._exchanges[0].pause_response()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """The client reads again."""
+        if self._exchanges:
+            self._exchanges[0].resume_response()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The connection is gone; `connectionLost` follows."""
+
+    def pause_body(self) -> None:
+        """Stop reading while a request's body has no room."""
+        self._pause("body")
+
+    def resume_body(self) -> None:
+        """Read again."""
+        self._resume("body")
+
+    def _pause(self, reason: str) -> None:
+        if not self._pauses and not self._dead:
+            self.transport.pauseProducing()
+        self._pauses.add(reason)
+
+    def _resume(self, reason: str) -> None:
+        self._pauses.discard(reason)
+        if not self._pauses and not self._dead:
+            self.transport.resumeProducing()
+
+    # Parser callbacks
+
+    def on_message_begin(self) -> None:
+        """A new request begins."""
+        self._in_head = True
+        self._head_size = 0
+        self._start_timer(self._limits.header_time_ms)
+        self._url = b""
+        self._headers = []
+
+    def on_url(self, url: bytes) -> None:
+        """A part of the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header, or a trailer once the head is complete."""
+        if self._receiving is None:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """The head is complete: check it and queue the exchange."""
+        head = messages.RequestHead(
+            self._parser.get_method(), self._url, self._headers, self._parser.get_http_version()
+        )
+        length = self._check_head(head)
+        exchange = ServerExchange(self, head)
+        exchange.keep_alive = self._parser.should_keep_alive()
+        exchange.expects_continue = (
+            messages.get_text(head.headers, b"expect").lower() == "100-continue"
+        )
+        exchange.body.length = length
+        self._receiving = exchange
+        self._in_head = False
+        self._stop_timer()
+        self._exchanges.append(exchange)
+        if len(self._exchanges) > PIPELINE_LIMIT:
+            self._pause("pipeline")
+        if len(self._exchanges) == 1:
+            self._serve(exchange)
+
+    def on_body(self, data: bytes) -> None:
+        """Some bytes of the body."""
+        exchange = self._receiving
+        if exchange is None:
+            return
+        if exchange.body.size + len(data) > self._limits.body_bytes:
+            exchange.body.fail(BodyTooLarge())
+            raise RequestRejected(413, "body-too-large")
+        exchange.body.feed(data)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        exchange, self._receiving = self._receiving, None
+        if exchange is not None:
+            exchange.body.end()
+
+    # Requests
+
+    def _check_head(self, head: messages.RequestHead) -> int | None:
+        headers = head.headers
+        names = [name for name, _ in headers]
+        if names.count(b"host") > 1 or (head.http_version == "1.1" and b"host" not in names):
+            raise RequestRejected(400, "host-header")
+        if b"\x00" in head.target or b"upgrade" in names or head.method == b"CONNECT":
+            raise RequestRejected(501, "upgrade-not-supported")
+        if b"transfer-encoding" in names:
+            if messages.get_text(headers, b"transfer-encoding").strip().lower() != "chunked":
+                raise RequestRejected(400, "transfer-encoding")
+            return None
+        length = int(messages.get_header(headers, b"content-length") or 0)
+        if length > self._limits.body_bytes:
+            raise RequestRejected(413, "body-too-large")
+        return length
+
+    def _check_head_size(self, received: int) -> None:
+        if not self._in_head:
+            return
+        self._head_size += received
+        if self._head_size > self._limits.header_bytes:
+            raise RequestRejected(431, "header-too-large")
+
+    def _reject_cause(self, cause: BaseException | None) -> None:
+        if isinstance(cause, RequestRejected):
+            self._reject(cause.status, cause.reason)
+        else:
+            log.error("request_callback_failed", error=repr(cause))
+            self._reject(500, "internal-error")
+
+    def _reject(self, status: int, reason: str) -> None:
+        """Answer a request that cannot be parsed, after those before it, and close."""
+        self._dead = True
+        exchange = self._receiving
+        if exchange is not None:
+            exchange.body.fail(BodyTooLarge() if status == 413 else ConnectionCut())
+        if self._exchanges:
+            # The answers of the requests before it cannot be told from this one any more.
+            if self._exchanges[0].started or len(self._exchanges) > 1:
+                self.transport.abortConnection()
+                return
+            self._exchanges[0].lost = True
+        body = b'{"outcome":"not-run","reason":"%s"}\n' % reason.encode()
+        head = messages.ResponseHead(
+            status,
+            messages.reason_of(status),
+            [
+                (b"content-type", b"application/json"),
+                (b"foxtail-outcome", b"not-run; reason=" + reason.encode()),
+            ],
+        )
+        framing = [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
+        self.transport.write(messages.format_response(head, framing) + body)
+        self.transport.loseConnection()
+
+    def _serve(self, exchange: ServerExchange) -> None:
+        done = ensureDeferred(self._handler(exchange))  # type: ignore[arg-type]
+        done.addErrback(self._handler_failed, exchange)
+
+    def _handler_failed(self, failure: Any, exchange: ServerExchange) -> None:
+        log.error("handler_failed", error=repr(failure.value), trace=failure.getTraceback())
+        exchange.abort()
+
+    def exchange_finished(self, exchange: ServerExchange) -> None:
+        """Serve the next request, or wait for one."""
+        if self._exchanges and self._exchanges[0] is exchange:
+            self._exchanges.popleft()
+        if not exchange.keep_alive or not exchange.body.ended:
+            self._dead = True
+            self.transport.loseConnection()
+            return
+        self._resume("pipeline")
+        if self._exchanges:
+            self._clock.call_later(0, self._serve_next)
+        elif self.closing:
+            self.transport.loseConnection()
+        elif not self._in_head:
+            self._start_timer(self._limits.idle_time_ms)
+
+    def _serve_next(self) -> None:
+        if self._exchanges and not self._exchanges[0].started and not self._dead:
+            self._serve(self._exchanges[0])
+
+    # Writing and closing
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the client."""
+        if self.transport is not None and self.connected:
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        """Cut the connection at once."""
+        self._dead = True
+        if self.connected:
+            self.transport.abortConnection()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being served."""
+        return bool(self._exchanges)
+
+    def close_when_idle(self) -> None:
+        """Close now if idle, else after the last response."""
+        self.closing = True
+        if not self._exchanges:
+            self.transport.loseConnection()
+
+    def _start_timer(self, delay_ms: float) -> None:
+        cancel_timer(self._timer)
+        self._timer = self._clock.call_later(delay_ms, self._timed_out)
+
+    def _stop_timer(self) -> None:
+        cancel_timer(self._timer)
+        self._timer = None
+
+    def _timed_out(self) -> None:
+        if self._in_head:
+            self._reject(408, "header-timeout")
+        else:
+            self.transport.loseConnection()
+
+
+class ServerFactory(Factory):
+    """Builds a `ServerConnection` for each client."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        handler: Callable[[ServerExchange], Awaitable[None]],
+        limits: ServerLimits,
+        clock: Clock,
+    ) -> None:
+        self.connections: set[ServerConnection] = set()
+        self._handler = handler
+        self._limits = limits
+        self._clock = clock
+
+    def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
+        """A connection for the client at `addr`."""
+        connection = ServerConnection(self._handler, self._limits, self._clock)
+        connection.factory = self
+        return connection
+
+    def close_idle(self) -> None:
+        """Close idle connections now, and the others after their responses."""
+        for connection in list(self.connections):
+            connection.close_when_idle()
--- /dev/null
+++ b/foxtailproxy/lifecycle.py
@@ -0,0 +1,67 @@
+"""The life of a node: starting, serving, draining, closed."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import structlog
+from automat import TypeMachineBuilder
+from twisted.internet.defer import Deferred
+
+log = structlog.get_logger()
+
+
+class LifecycleInputs(Protocol):
+    """What can happen to a node."""
+
+    def started(self) -> None:
+        """All sockets are open."""
+
+    def drain(self) -> None:
+        """The node is to finish its calls and stop."""
+
+    def drained(self) -> None:
+        """No call is left, or the time for them is over."""
+
+
+class LifecycleCore:
+    """The state's name for status, and who waits for the end."""
+
+    def __init__(self) -> None:
+        self.name = "starting"
+        self.closed: Deferred[None] = Deferred()
+
+
+_builder = TypeMachineBuilder(LifecycleInputs, LifecycleCore)
+_starting = _builder.state("starting")
+_serving = _builder.state("serving")
+_draining = _builder.state("draining")
+_closed = _builder.state("closed")
+
+
+@_starting.upon(LifecycleInputs.started).to(_serving)
+def _begin_serving(inputs: LifecycleInputs, core: LifecycleCore) -> None:
+    core.name = "serving"
+    log.info("node_serving")
+
+
+@_serving.upon(LifecycleInputs.drain).to(_draining)
+@_starting.upon(LifecycleInputs.drain).to(_draining)
+def _begin_draining(inputs: LifecycleInputs, core: LifecycleCore) -> None:
+    core.name = "draining"
+    log.info("node_draining")
+
+
+@_draining.upon(LifecycleInputs.drained).to(_closed)
+def _end(inputs: LifecycleInputs, core: LifecycleCore) -> None:
+    core.name = "closed"
+    log.info("node_closed")
+    core.closed.callback(None)
+
+
+_draining.upon(LifecycleInputs.drain).loop().returns(None)
+_draining.upon(LifecycleInputs.started).loop().returns(None)
+_closed.upon(LifecycleInputs.drain).loop().returns(None)
+_closed.upon(LifecycleInputs.drained).loop().returns(None)
+
+build_lifecycle = _builder.build()
--- /dev/null
+++ b/foxtailproxy/metrics.py
@@ -0,0 +1,132 @@
+"""Latency histograms for each class and tenant, and counters, read out through OpenTelemetry."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from opentelemetry.metrics import CallbackOptions, Observation
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+DIGITS = 2
+
+MAX_TENANTS = 50
+"""Tenants with a histogram of their own; the others share one."""
+
+OTHER_TENANTS = "(other)"
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class HistogramSummary(msgspec.Struct):
+    """A latency histogram in numbers; times in milliseconds."""
+
+    name: str
+    count: int
+    mean_ms: float
+    max_ms: float
+    quantiles_ms: dict[str, float]
+    buckets: list[tuple[float, int]]
+
+
+class Metrics:
+    """What this node counts."""
+
+    def __init__(self) -> None:
+        self.by_class: dict[str, HdrHistogram] = {}
+        self.by_tenant: dict[str, HdrHistogram] = {}
+        self.calls_by_outcome: Counter[tuple[str, str]] = Counter()
+        self.retries = 0
+        self.claims = 0
+
+    def record(self, class_key: str, tenant: str, outcome: str, elapsed_ms: float) -> None:
+        """A call has ended."""
+        elapsed_us = max(LOWEST_US, int(elapsed_ms * 1000))
+        self._histogram(self.by_class, class_key).record_value(elapsed_us)
+        if tenant not in self.by_tenant and len(self.by_tenant) >= MAX_TENANTS:
+            tenant = OTHER_TENANTS
+        self._histogram(self.by_tenant, tenant).record_value(elapsed_us)
+        self.calls_by_outcome[class_key, outcome] += 1
+
+    def summaries(self) -> list[HistogramSummary]:
+        """All histograms."""
+        named = [(f"class {name}", histogram) for name, histogram in self.by_class.items()]
+        named += [(f"tenant {name or '-'}", hist) for name, hist in self.by_tenant.items()]
+        return [summarize(name, histogram) for name, histogram in sorted(named)]
+
+    @staticmethod
+    def _histogram(histograms: dict[str, HdrHistogram], name: str) -> HdrHistogram:
+        histogram = histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            histograms[name] = histogram
+        return histogram
+
+
+def summarize(name: str, histogram: HdrHistogram) -> HistogramSummary:
+    """A histogram of microseconds in numbers."""
+    quantiles = {
+        f"p{quantile:g}": histogram.get_value_at_percentile(quantile) / 1000
+        for quantile in QUANTILES
+    }
+    buckets = [
+        (item.value_iterated_to / 1000, item.count_added_in_this_iter_step)
+        for item in histogram.get_log_iterator(100, 2)
+        if item.count_added_in_this_iter_step
+    ]
+    return HistogramSummary(
+        name,
+        histogram.get_total_count(),
+        histogram.get_mean_value() / 1000,
+        histogram.get_max_value() / 1000,
+        quantiles,
+        buckets,
+    )
+
+
+class MetricsExport:
+    """Gives the metrics to OpenTelemetry, in the text form that Prometheus reads."""
+
+    def __init__(self, metrics: Metrics, gauges: Callable[[], dict[str, float]]) -> None:
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+        from opentelemetry.sdk.metrics import MeterProvider
+        from prometheus_client import REGISTRY, generate_latest
+
+        self._metrics = metrics
+        self._gauges = gauges
+        self._generate = lambda: generate_latest(REGISTRY)
+        provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
+        meter = provider.get_meter("foxtailproxy")
+        meter.create_observable_gauge("foxtailproxy_latency", [self._latencies], unit="ms")
+        meter.create_observable_counter("foxtailproxy_calls", [self._calls])
+        meter.create_observable_gauge("foxtailproxy_state", [self._state])
+
+    def text(self) -> bytes:
+        """All metrics."""
+        return self._generate()
+
+    def _latencies(self, options: CallbackOptions) -> Iterable[Observation]:
+        from opentelemetry.metrics import Observation
+
+        for summary in self._metrics.summaries():
+            for quantile, value in summary.quantiles_ms.items():
+                yield Observation(value, {"of": summary.name, "quantile": quantile})
+
+    def _calls(self, options: CallbackOptions) -> Iterable[Observation]:
+        from opentelemetry.metrics import Observation
+
+        for (class_key, outcome), count in self._metrics.calls_by_outcome.items():
+            yield Observation(count, {"class": class_key, "outcome": outcome})
+
+    def _state(self, options: CallbackOptions) -> Iterable[Observation]:
+        from opentelemetry.metrics import Observation
+
+        for name, value in self._gauges().items():
+            yield Observation(value, {"name": name})
--- /dev/null
+++ b/foxtailproxy/models/messages.py
@@ -0,0 +1,195 @@
+"""Models generated from `schema/messages.schema.json`."""
+
+from __future__ import annotations
+from enum import StrEnum
+from typing import Annotated, TypeAlias
+from msgspec import Meta, Struct, field
+
+
+class MemberState(StrEnum):
+    """
+    What is known of a node.
+    """
+
+    alive = "alive"
+    suspect = "suspect"
+    leaving = "leaving"
+    dead = "dead"
+
+
+class MemberRecord(Struct):
+    """
+    One node as its peers know it.
+    """
+
+    node_id: Annotated[str, Meta(max_length=63)]
+    incarnation: Annotated[
+        int,
+        Meta(description="Raised by the node itself each time it changes its own record.", ge=0),
+    ]
+    """
+    Raised by the node itself each time it changes its own record.
+    """
+    state: MemberState
+    region: Annotated[str, Meta(max_length=63)]
+    data_center: Annotated[str, Meta(max_length=63)]
+    address: Annotated[str, Meta(max_length=45)]
+    peer_port: Annotated[int, Meta(ge=0, le=65535)]
+    gossip_port: Annotated[int, Meta(ge=0, le=65535)]
+    admin_port: Annotated[int, Meta(ge=0, le=65535)]
+    service: Annotated[
+        str,
+        Meta(
+            description="Service of the node's own target; empty when it has none.",
+            max_length=63,
+        ),
+    ] = ""
+    """
+    Service of the node's own target; empty when it has none.
+    """
+    slots: Annotated[
+        int, Meta(description="Calls that the target runs at the same time.", ge=0, le=100000)
+    ] = 0
+    """
+    Calls that the target runs at the same time.
+    """
+    boot_id: Annotated[
+        str, Meta(description="Changes each time the node's process starts.", max_length=32)
+    ] = ""
+    """
+    Changes each time the node's process starts.
+    """
+
+
+class PacketKind(StrEnum):
+    """
+    What a gossip packet asks for.
+    """
+
+    ping = "ping"
+    ack = "ack"
+    ping_request = "ping-request"
+    push = "push"
+    digest = "digest"
+    records = "records"
+
+
+Upstream: TypeAlias = Annotated[str, Meta(max_length=63)]
+
+
+class CrashReport(Struct):
+    """
+    How many upstreams a request fingerprint has crashed.
+    """
+
+    fingerprint: Annotated[str, Meta(max_length=32)]
+    upstreams: Annotated[list[Upstream], Meta(max_length=16)]
+
+
+class GossipPacket(Struct):
+    """
+    One datagram between two nodes.
+    """
+
+    kind: PacketKind
+    sender: Annotated[str, Meta(max_length=63)]
+    sequence: Annotated[int, Meta(ge=0)]
+    subject: Annotated[
+        str,
+        Meta(
+            description="Node that a ping-request asks about, or data centre that a digest covers.",
+            max_length=63,
+        ),
+    ] = ""
+    """
+    Node that a ping-request asks about, or data centre that a digest covers.
+    """
+    members: list[MemberRecord] = field(default_factory=list)
+    data_center_hashes: Annotated[
+        dict[str, int], Meta(description="Hash of all records of each data centre.")
+    ] = field(default_factory=dict)
+    """
+    Hash of all records of each data centre.
+    """
+    incarnations: Annotated[
+        dict[str, int], Meta(description="Rank of each record of one data centre, by node id.")
+    ] = field(default_factory=dict)
+    """
+    Rank of each record of one data centre, by node id.
+    """
+    crashes: list[CrashReport] = field(default_factory=list)
+    config_generation: Annotated[int, Meta(ge=0)] = 0
+    config_change: Annotated[str, Meta(max_length=64)] = ""
+
+
+class Announcement(Struct):
+    """
+    What an upstream tells its node about itself.
+    """
+
+    service: Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+    address: Annotated[str, Meta(max_length=45)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    slots: Annotated[int, Meta(ge=1, le=100000)]
+    connections: Annotated[int, Meta(ge=1, le=100000)] = 220
+    instance: Annotated[
+        str, Meta(description="Changes each time the upstream's process starts.", max_length=64)
+    ] = ""
+    """
+    Changes each time the upstream's process starts.
+    """
+
+
+class ClaimRecord(Struct):
+    """
+    Who may dispatch the request of one idempotency key.
+    """
+
+    claim_id: Annotated[str, Meta(max_length=64)]
+    node_id: Annotated[str, Meta(max_length=63)]
+    boot_id: Annotated[str, Meta(max_length=32)]
+    address: Annotated[str, Meta(max_length=45)]
+    peer_port: Annotated[int, Meta(ge=1, le=65535)]
+    fingerprint: Annotated[str, Meta(max_length=32)]
+
+
+class ConfigObject(Struct):
+    """
+    A whole configuration as the platform keeps it.
+    """
+
+    generation: Annotated[int, Meta(ge=1)]
+    change_id: Annotated[str, Meta(max_length=64)]
+    author: Annotated[str, Meta(max_length=100)]
+    text: Annotated[str, Meta(description="The configuration in INI.")]
+    """
+    The configuration in INI.
+    """
+
+
+class StoredObject(Struct):
+    """
+    One object of the platform.
+    """
+
+    name: str
+    version: Annotated[int, Meta(ge=1)]
+    value: str
+
+
+class ObjectListing(Struct):
+    """
+    Objects under a prefix and the revision they were read at.
+    """
+
+    revision: Annotated[int, Meta(ge=0)]
+    objects: list[StoredObject]
+
+
+class Messages(Struct):
+    packet: GossipPacket
+    claim: ClaimRecord
+    announcement: Announcement
+    config: ConfigObject
+    object: StoredObject
+    listing: ObjectListing
--- /dev/null
+++ b/foxtailproxy/models/rules.py
@@ -0,0 +1,229 @@
+"""Models generated from `schema/rules.schema.json`."""
+
+from __future__ import annotations
+from msgspec import Meta, Struct, field
+from typing import Annotated, TypeAlias
+
+
+class FleetRule(Struct):
+    """
+    Budgets that hold for every node.
+    """
+
+    retry_percent: Annotated[
+        int, Meta(description="Retries allowed, as a percentage of calls.", ge=0, le=100)
+    ] = 10
+    """
+    Retries allowed, as a percentage of calls.
+    """
+    measure_bytes_per_s: Annotated[
+        int,
+        Meta(
+            description="Bytes a second that one node may spend on measuring other nodes.",
+            ge=0,
+            le=1000000,
+        ),
+    ] = 4000
+    """
+    Bytes a second that one node may spend on measuring other nodes.
+    """
+    paid_measure_bytes_per_s: Annotated[
+        int,
+        Meta(
+            description="Bytes a second that one node may spend on measuring over the paid link between regions.",
+            ge=0,
+            le=1000000,
+        ),
+    ] = 200
+    """
+    Bytes a second that one node may spend on measuring over the paid link between regions.
+    """
+    paid_call_bytes_per_s: Annotated[
+        int,
+        Meta(
+            description="Bytes a second of calls that one node may send over the paid link between regions.",
+            ge=0,
+            le=125000000,
+        ),
+    ] = 250000
+    """
+    Bytes a second of calls that one node may send over the paid link between regions.
+    """
+    crash_limit: Annotated[
+        int,
+        Meta(
+            description="Upstreams that one request may crash before it is quarantined.",
+            ge=1,
+            le=10,
+        ),
+    ] = 2
+    """
+    Upstreams that one request may crash before it is quarantined.
+    """
+    quarantine_ms: Annotated[
+        int,
+        Meta(
+            description="Time that a request stays quarantined, in milliseconds.",
+            ge=1000,
+            le=86400000,
+        ),
+    ] = 600000
+    """
+    Time that a request stays quarantined, in milliseconds.
+    """
+
+
+class ServiceRule(Struct):
+    """
+    One service and the names that callers use for it.
+    """
+
+    name: Annotated[
+        str, Meta(description="Name of the service.", pattern="^[a-z0-9][a-z0-9-]{0,62}$")
+    ]
+    """
+    Name of the service.
+    """
+    hosts: Annotated[
+        list[str],
+        Meta(description="Values of the Host header that name this service.", min_length=1),
+    ]
+    """
+    Values of the Host header that name this service.
+    """
+    tenant_header: Annotated[str, Meta(description="Request header that names the tenant.")] = (
+        "x-tenant"
+    )
+    """
+    Request header that names the tenant.
+    """
+    long_after_ms: Annotated[
+        int,
+        Meta(
+            description="Run time after which a call counts as long, in milliseconds.",
+            ge=1,
+            le=3600000,
+        ),
+    ] = 500
+    """
+    Run time after which a call counts as long, in milliseconds.
+    """
+    long_percent: Annotated[
+        int,
+        Meta(
+            description="Share of a target's slots that long work may hold, as a percentage.",
+            ge=1,
+            le=100,
+        ),
+    ] = 50
+    """
+    Share of a target's slots that long work may hold, as a percentage.
+    """
+    local_margin_ms: Annotated[
+        int,
+        Meta(
+            description="Extra expected wait at the node's own target that is accepted before a call goes to a peer, in milliseconds.",
+            ge=0,
+            le=60000,
+        ),
+    ] = 5
+    """
+    Extra expected wait at the node's own target that is accepted before a call goes to a peer, in milliseconds.
+    """
+
+
+Method: TypeAlias = Annotated[str, Meta(pattern="^[A-Z]+$")]
+
+
+class ClassRule(Struct):
+    """
+    Requests of one service that share the rules for retry, shed and hold.
+    """
+
+    service: Annotated[
+        str,
+        Meta(description="Service that the class belongs to.", pattern="^[a-z0-9][a-z0-9-]{0,62}$"),
+    ]
+    """
+    Service that the class belongs to.
+    """
+    name: Annotated[
+        str, Meta(description="Name of the class.", pattern="^[a-z0-9][a-z0-9-]{0,62}$")
+    ]
+    """
+    Name of the class.
+    """
+    methods: Annotated[
+        list[Method], Meta(description="HTTP methods of the class; none means all.")
+    ] = field(default_factory=list)
+    """
+    HTTP methods of the class; none means all.
+    """
+    path_prefix: Annotated[
+        str,
+        Meta(description="Start of the paths of the class; the longest match wins.", pattern="^/"),
+    ] = "/"
+    """
+    Start of the paths of the class; the longest match wins.
+    """
+    idempotent: Annotated[bool, Meta(description="Whether a request may run more than once.")] = (
+        False
+    )
+    """
+    Whether a request may run more than once.
+    """
+    attempts: Annotated[
+        int, Meta(description="Most targets that one request is sent to.", ge=1, le=10)
+    ] = 3
+    """
+    Most targets that one request is sent to.
+    """
+    weight: Annotated[
+        int,
+        Meta(description="Share of a busy target relative to the other classes.", ge=1, le=100),
+    ] = 1
+    """
+    Share of a busy target relative to the other classes.
+    """
+    priority: Annotated[
+        int, Meta(description="Importance; the lowest is shed first.", ge=0, le=9)
+    ] = 5
+    """
+    Importance; the lowest is shed first.
+    """
+    deadline_ms: Annotated[
+        int,
+        Meta(description="Longest time for the whole call, in milliseconds.", ge=1, le=3600000),
+    ] = 5000
+    """
+    Longest time for the whole call, in milliseconds.
+    """
+    hold_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time that a request may be held in a queue, in milliseconds.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 1000
+    """
+    Longest time that a request may be held in a queue, in milliseconds.
+    """
+    queue: Annotated[
+        int, Meta(description="Most requests of the class held at one target.", ge=0, le=100000)
+    ] = 100
+    """
+    Most requests of the class held at one target.
+    """
+    long: Annotated[
+        bool, Meta(description="Whether requests of the class are long work from the start.")
+    ] = False
+    """
+    Whether requests of the class are long work from the start.
+    """
+
+
+class Rules(Struct):
+    fleet: FleetRule
+    services: list[ServiceRule]
+    classes: list[ClassRule]
--- /dev/null
+++ b/foxtailproxy/outcome.py
@@ -0,0 +1,81 @@
+"""How a call may end: answered, not run, or unknown."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+if TYPE_CHECKING:
+    from foxtailproxy.http.body import BodyStream
+    from foxtailproxy.http.messages import ResponseHead
+
+
+class NotRunReason(StrEnum):
+    """Why a request was not run."""
+
+    UNKNOWN_SERVICE = "unknown-service"
+    NO_CONFIGURATION = "no-configuration"
+    NO_TARGET = "no-target"
+    TARGET_DOWN = "target-down"
+    LEAVING = "leaving"
+    QUEUE_FULL = "queue-full"
+    OVERLOADED = "overloaded"
+    HELD_TOO_LONG = "held-too-long"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    NEVER_ARRIVED = "never-arrived"
+    SEALED = "sealed"
+    UNREACHABLE = "unreachable"
+    UPSTREAM_REFUSED = "upstream-refused"
+    QUARANTINED = "quarantined"
+    PLATFORM_DOWN = "platform-down"
+    KEY_REUSED = "key-reused"
+    TOO_DEEP = "too-deep"
+    BAD_REQUEST = "bad-request"
+    REQUEST_CUT = "request-cut"
+
+
+class UnknownReason(StrEnum):
+    """Why it cannot be told whether, or how, a request ran."""
+
+    UPSTREAM_LOST = "upstream-lost"
+    PEER_LOST = "peer-lost"
+    DEADLINE = "deadline"
+    ANSWER_CUT = "answer-cut"
+    CLAIMED_ELSEWHERE = "claimed-elsewhere"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request did not run and will not; it may be sent again."""
+
+    reason: NotRunReason
+    retry_after_ms: int = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run.
+
+    `crashed` tells that the upstream died while it ran.
+    """
+
+    reason: UnknownReason
+    crashed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The upstream's response; its body may still be arriving."""
+
+    head: ResponseHead
+    body: BodyStream
+
+
+CallFailure = NotRun | Unknown
+Outcome = Result[Answer, CallFailure]
--- /dev/null
+++ b/foxtailproxy/peer_client.py
@@ -0,0 +1,216 @@
+"""Sends calls to the nodes beside other targets and recovers them when a connection is lost."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import structlog
+from expression import Error, Ok
+
+from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.errors import ConnectFailed, ConnectionSilent, ExchangeCancelled, HttpError
+from foxtailproxy.http.messages import HeaderList, RequestHead, ResponseHead, get_header
+from foxtailproxy.http.pool import ConnectionPool
+from foxtailproxy.load import parse_load
+from foxtailproxy.models.messages import ConfigObject
+from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from foxtailproxy.wire import DEADLINE, LOAD, call_headers, parse_failure, without_own
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.task import LoopingCall
+
+    from foxtailproxy.call import Call
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.http.client import ClientConnection, ClientResponse
+    from foxtailproxy.models.messages import MemberRecord
+    from foxtailproxy.models.settings import LimitsSection
+
+log = structlog.get_logger()
+
+ATTEMPT_PATH = b"/attempts/"
+CLAIM_PATH = b"/claims/"
+CONFIG_PATH = b"/config"
+
+CONFIG_LIMIT_BYTES = 2_097_152
+"""Largest configuration taken from another node, compressed."""
+
+OK_STATUS = 200
+
+RECOVERY_TRIES = 3
+"""New connections tried to ask about a call whose connection was lost."""
+
+RECOVERY_PAUSE_MS = 100
+"""Time between two of these tries, in milliseconds."""
+
+WATCH_INTERVAL_MS = 100
+"""Time between two looks for silent connections, in milliseconds."""
+
+
+class PeerClient:
+    """Connections to other nodes.
+
+    `on_load` is called with a node id and the load that came with an answer or a heartbeat.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        reactor: Any,
+        limits: LimitsSection,
+        on_load: Callable[[str, Any], None],
+    ) -> None:
+        self._clock = clock
+        self._reactor = reactor
+        self._limits = limits
+        self._on_load = on_load
+        self._pool_by_address: dict[tuple[str, int], ConnectionPool] = {}
+        self._by_attempt: dict[str, ClientConnection] = {}
+        self._in_use: dict[ClientConnection, None] = {}
+        self._loop: LoopingCall | None = None
+
+    def start(self) -> None:
+        """Begin to look for silent connections."""
+        self._loop = self._clock.repeat(WATCH_INTERVAL_MS, self._find_silent)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        if self._loop is not None:
+            self._loop.stop()
+        for pool in self._pool_by_address.values():
+            pool.close()
+
+    def forget(self, member: MemberRecord) -> None:
+        """Close the idle connections to a node that has gone."""
+        pool = self._pool_by_address.pop((member.address, member.peer_port), None)
+        if pool is not None:
+            pool.close()
+
+    async def run(self, call: Call, member: MemberRecord) -> Outcome:
+        """Run a call at the target of `member`."""
+        head = RequestHead(call.head.method, call.head.target, call_headers(call, self._clock))
+        pool = self._pool(member.address, member.peer_port)
+        try:
+            connection = await pool.acquire()
+        except ConnectFailed:
+            return Error(NotRun(NotRunReason.UNREACHABLE))
+        try:
+            self._by_attempt[call.attempt_id] = connection
+            return await self._exchange(connection, head, call.body(), member.node_id)
+        except ExchangeCancelled:
+            return Error(Unknown(UnknownReason.CANCELLED))
+        except HttpError as error:
+            pool.drop_idle()
+            log.warning(
+                "peer_connection_lost",
+                attempt=call.attempt_id,
+                peer=member.node_id,
+                error=type(error).__name__,
+            )
+            return await self._recover(call, member)
+        finally:
+            self._by_attempt.pop(call.attempt_id, None)
+
+    def cancel(self, attempt_id: str) -> None:
+        """The caller of an idempotent call does not want the answer any more."""
+        connection = self._by_attempt.get(attempt_id)
+        if connection is not None:
+            connection.fail(ExchangeCancelled())
+
+    async def ask_claim(self, claim_id: str, call: Call, address: str, port: int) -> Outcome:
+        """Ask the node that holds a claim for the outcome of its call."""
+        path = CLAIM_PATH + claim_id.encode()
+        return await self._ask(path, call, address, port, "")
+
+    async def fetch_config(self, member: MemberRecord) -> ConfigObject | None:
+        """The configuration of another node, or `None` where it could not be had."""
+        head = RequestHead(b"GET", CONFIG_PATH, [(b"host", b"node")])
+        try:
+            connection = await self._pool(member.address, member.peer_port).acquire()
+            self._heard(connection)
+            self._in_use[connection] = None
+            try:
+                response = await connection.request(head, BodyStream.of(b""))
+                whole = await response.body.buffer(CONFIG_LIMIT_BYTES)
+            finally:
+                self._in_use.pop(connection, None)
+        except HttpError:
+            return None
+        if response.head.status != OK_STATUS or not whole:
+            return None
+        try:
+            text = zlib.decompress(response.body.held())
+            return msgspec.json.decode(text, type=ConfigObject)
+        except (zlib.error, msgspec.MsgspecError):
+            return None
+
+    async def _recover(self, call: Call, member: MemberRecord) -> Outcome:
+        """Ask on new connections what became of a call; the node seals one it has not seen."""
+        path = ATTEMPT_PATH + call.attempt_id.encode()
+        for _ in range(RECOVERY_TRIES):
+            if call.remaining_ms(self._clock) <= 0:
+                break
+            try:
+                return await self._ask(path, call, member.address, member.peer_port, member.node_id)
+            except HttpError:
+                await self._clock.sleep(RECOVERY_PAUSE_MS)
+        return Error(Unknown(UnknownReason.PEER_LOST))
+
+    async def _ask(self, path: bytes, call: Call, address: str, port: int, peer: str) -> Outcome:
+        remaining = b"%d" % max(0, call.remaining_ms(self._clock))
+        head = RequestHead(b"POST", path, [(b"host", b"node"), (DEADLINE, remaining)])
+        connection = await self._pool(address, port).acquire(fresh=True)
+        outcome = await self._exchange(connection, head, BodyStream.of(b""), peer)
+        if outcome.is_error() and isinstance(outcome.error, NotRun):
+            # The node remembers a call only until some time after its deadline.
+            if call.remaining_ms(self._clock) <= 0:
+                return Error(Unknown(UnknownReason.DEADLINE))
+        return outcome
+
+    async def _exchange(
+        self, connection: ClientConnection, head: RequestHead, body: BodyStream, peer: str
+    ) -> Outcome:
+        connection.on_heard = self._heard
+        connection.on_interim = lambda headers: self._observe(peer, headers)
+        self._heard(connection)
+        self._in_use[connection] = None
+        try:
+            response = await connection.request(head, body)
+            self._observe(peer, response.head.headers)
+            return await self._read(response)
+        finally:
+            self._in_use.pop(connection, None)
+
+    async def _read(self, response: ClientResponse) -> Outcome:
+        failure = parse_failure(response.head.headers)
+        whole = await response.body.buffer(self._limits.replay_bytes)
+        if failure is not None:
+            return Error(failure)
+        headers = without_own(response.head.headers)
+        head = ResponseHead(response.head.status, response.head.reason, headers)
+        return Ok(Answer(head, response.body))
+
+    def _observe(self, peer: str, headers: HeaderList) -> None:
+        load = parse_load(get_header(headers, LOAD))
+        if load is not None and peer:
+            self._on_load(peer, load)
+
+    def _heard(self, connection: ClientConnection) -> None:
+        connection.last_heard_ms = self._clock.now_ms()
+
+    def _find_silent(self) -> None:
+        oldest = self._clock.now_ms() - self._limits.silence_ms
+        for connection in list(self._in_use):
+            if connection.last_heard_ms < oldest:
+                connection.fail(ConnectionSilent())
+
+    def _pool(self, address: str, port: int) -> ConnectionPool:
+        key = (address, port)
+        pool = self._pool_by_address.get(key)
+        if pool is None:
+            pool = ConnectionPool(self._reactor, address, port)
+            self._pool_by_address[key] = pool
+        return pool
--- /dev/null
+++ b/foxtailproxy/peer_server.py
@@ -0,0 +1,195 @@
+"""Serves calls that other nodes send to this node's target, and their questions about them."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import msgspec
+from expression import Error
+
+from foxtailproxy.call import Call, fingerprint_of
+from foxtailproxy.http import messages
+from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.errors import HttpError
+from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from foxtailproxy.peer_client import ATTEMPT_PATH, CLAIM_PATH, CONFIG_PATH
+from foxtailproxy.runs import RunTable, SharedRun
+from foxtailproxy.wire import (
+    ATTEMPT,
+    CRASHED,
+    DEADLINE,
+    DEPTH,
+    LOAD,
+    TENANT,
+    failure_response,
+    match_call,
+    read_int,
+    without_own,
+)
+
+if TYPE_CHECKING:
+    from twisted.internet.task import LoopingCall
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.config_sync import ConfigSync
+    from foxtailproxy.http.server import ServerExchange
+    from foxtailproxy.models.settings import LimitsSection
+    from foxtailproxy.target import Target
+
+PROCESSING = 102
+"""Interim status that a heartbeat is sent with."""
+
+ORPHAN_MS = 1500
+"""Time for which a call without a connection goes on, so that its sender can ask about it."""
+
+
+class PeerServer:
+    """Handles the requests of other nodes.
+
+    `config` holds the rules in force, `claims` the runs that this node holds a claim for.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: LimitsSection,
+        target: Target,
+        config: ConfigSync,
+        claims: RunTable,
+    ) -> None:
+        self.attempts = RunTable(clock, limits.kept_answer_bytes, limits.kept_answer_ms)
+        self._clock = clock
+        self._limits = limits
+        self._target = target
+        self._config = config
+        self._claims = claims
+        self._open: dict[ServerExchange, str] = {}
+        self._loops: list[LoopingCall] = []
+
+    def start(self) -> None:
+        """Begin to send heartbeats and to forget old runs."""
+        self._loops.append(self._clock.repeat(self._limits.heartbeat_ms, self._send_heartbeats))
+        self._loops.append(self._clock.repeat(1000, self.attempts.sweep))
+
+    def close(self) -> None:
+        """Stop the timers."""
+        for loop in self._loops:
+            loop.stop()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no peer waits for an answer."""
+        return not self._open
+
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Serve one request of another node."""
+        target = exchange.head.target
+        if target.startswith(ATTEMPT_PATH):
+            self._answer_question(exchange, target[len(ATTEMPT_PATH) :].decode("latin-1"))
+        elif target.startswith(CLAIM_PATH):
+            self._answer_claim(exchange, target[len(CLAIM_PATH) :].decode("latin-1"))
+        elif target == CONFIG_PATH:
+            self._answer_config(exchange)
+        else:
+            await self._run(exchange)
+
+    async def _run(self, exchange: ServerExchange) -> None:
+        attempt_id = messages.get_text(exchange.head.headers, ATTEMPT)
+        book = self._config.book
+        match = None if book is None else match_call(exchange.head.headers, book)
+        if match is None or not attempt_id:
+            self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.NO_CONFIGURATION)))
+            return
+        known = self.attempts.find(attempt_id)
+        if known is not None:
+            self._attach(exchange, known)
+            return
+        headers = exchange.head.headers
+        deadline_ms = self._clock.now_ms() + read_int(headers, DEADLINE, match.rule.deadline_ms)
+        run = self.attempts.open(attempt_id, deadline_ms)
+        self._attach(exchange, run)
+        if run.ended:
+            return
+        exchange.accept_body()
+        try:
+            whole = await exchange.body.buffer(self._limits.replay_bytes)
+        except HttpError:
+            run.fail(NotRun(NotRunReason.REQUEST_CUT))
+            return
+        payload = exchange.body.held() if whole else None
+        crashed = messages.get_text(headers, CRASHED)
+        call = Call(
+            head=messages.RequestHead(
+                exchange.head.method, exchange.head.target, without_own(headers)
+            ),
+            service=match.service,
+            rule=match.rule,
+            tenant=messages.get_text(headers, TENANT),
+            deadline_ms=deadline_ms,
+            depth=read_int(headers, DEPTH, 0),
+            payload=payload,
+            stream=exchange.body,
+            crashed_upstreams=crashed.split(",") if crashed else [],
+            attempt_id=attempt_id,
+            fingerprint=fingerprint_of(match.service.name, exchange.head, payload),
+        )
+        outcome = await self._target.run(call)
+        await run.settle(outcome, self._limits.replay_bytes)
+
+    def _answer_question(self, exchange: ServerExchange, attempt_id: str) -> None:
+        run = self.attempts.find(attempt_id)
+        if run is not None:
+            self._attach(exchange, run)
+            return
+        self.attempts.seal(attempt_id)
+        self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.NEVER_ARRIVED)))
+
+    def _answer_claim(self, exchange: ServerExchange, claim_id: str) -> None:
+        run = self._claims.find(claim_id)
+        if run is not None:
+            self._attach(exchange, run)
+            return
+        # A claim that is not remembered may have run long ago.
+        self._respond(exchange, claim_id, Error(Unknown(UnknownReason.ANSWER_NOT_KEPT)))
+
+    def _answer_config(self, exchange: ServerExchange) -> None:
+        config = self._config.in_force
+        if config is None:
+            self._respond(exchange, "", Error(NotRun(NotRunReason.NO_CONFIGURATION)))
+            return
+        body = BodyStream.of(zlib.compress(msgspec.json.encode(config)))
+        exchange.respond(messages.ResponseHead(200, b"OK"), body)
+
+    def _attach(self, exchange: ServerExchange, run: SharedRun) -> None:
+        self._open[exchange] = run.run_id
+        exchange.on_lost = lambda: self._exchange_lost(exchange)
+        run.wait(lambda outcome: self._respond(exchange, run.run_id, outcome))
+
+    def _respond(self, exchange: ServerExchange, run_id: str, outcome: Outcome) -> None:
+        self._open.pop(exchange, None)
+        load = (LOAD, self._target.load().to_header())
+        if outcome.is_error():
+            head, body = failure_response(outcome.error, run_id)
+            head.headers.append(load)
+            exchange.respond(head, body)
+            return
+        answer: Answer = outcome.ok
+        headers = [*messages.end_to_end(answer.head.headers), load]
+        exchange.respond(
+            messages.ResponseHead(answer.head.status, answer.head.reason, headers), answer.body
+        )
+
+    def _exchange_lost(self, exchange: ServerExchange) -> None:
+        attempt_id = self._open.pop(exchange, None)
+        if attempt_id is not None:
+            self._clock.call_later(ORPHAN_MS, self._cancel_orphan, attempt_id)
+
+    def _cancel_orphan(self, attempt_id: str) -> None:
+        if attempt_id not in self._open.values():
+            self._target.cancel(attempt_id)
+
+    def _send_heartbeats(self) -> None:
+        load = [(LOAD, self._target.load().to_header())]
+        for exchange in self._open:
+            exchange.interim(PROCESSING, load)
--- /dev/null
+++ b/foxtailproxy/quarantine.py
@@ -0,0 +1,91 @@
+"""Requests that crash the upstreams that run them are kept from running again."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foxtailproxy.clock import Clock
+
+SUSPECTS = 1000
+"""Suspect requests remembered at most."""
+
+COMPLETED = 10_000
+"""Requests remembered as harmless at most."""
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A request that was running when upstreams died; `upstreams` names them."""
+
+    fingerprint: str
+    seen_ms: float
+    upstreams: list[str] = field(default_factory=list)
+
+
+class Quarantine:
+    """Counts, for each request fingerprint, the upstreams that died while they ran it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.by_fingerprint: dict[str, Suspect] = {}
+        self._clock = clock
+        self._completed: dict[str, None] = {}
+        self._released: dict[str, None] = {}
+
+    def report(self, fingerprint: str, upstreams: list[str]) -> bool:
+        """Upstreams died while they ran a request; returns whether this is news."""
+        if not fingerprint or fingerprint in self._released:
+            return False
+        suspect = self.by_fingerprint.get(fingerprint)
+        if suspect is None:
+            suspect = Suspect(fingerprint, self._clock.now_ms())
+            self.by_fingerprint[fingerprint] = suspect
+            self._bound(self.by_fingerprint, SUSPECTS)
+        news = [name for name in upstreams if name not in suspect.upstreams]
+        suspect.upstreams.extend(news)
+        if news:
+            suspect.seen_ms = self._clock.now_ms()
+        return bool(news)
+
+    def completed(self, fingerprint: str) -> None:
+        """A request ran to its end, so it is not what crashes upstreams."""
+        if not fingerprint:
+            return
+        self._completed[fingerprint] = None
+        self._bound(self._completed, COMPLETED)
+        self.by_fingerprint.pop(fingerprint, None)
+
+    def harmless(self, fingerprint: str) -> bool:
+        """Whether the request is known to have run to its end here."""
+        return fingerprint in self._completed
+
+    def crashed_upstreams(self, fingerprint: str) -> list[str]:
+        """The upstreams that died while they ran the request."""
+        suspect = self.by_fingerprint.get(fingerprint)
+        return [] if suspect is None else list(suspect.upstreams)
+
+    def blocked(self, fingerprint: str, limit: int, duration_ms: float) -> bool:
+        """Whether the request has crashed `limit` upstreams within the last `duration_ms`."""
+        suspect = self.by_fingerprint.get(fingerprint)
+        if suspect is None or len(suspect.upstreams) < limit:
+            return False
+        if self._clock.now_ms() - suspect.seen_ms > duration_ms:
+            del self.by_fingerprint[fingerprint]
+            return False
+        return True
+
+    def release(self, fingerprint: str) -> bool:
+        """An operator lets a request run again; `False` where it was not suspect."""
+        if self.by_fingerprint.pop(fingerprint, None) is None:
+            return False
+        self._released[fingerprint] = None
+        self._bound(self._released, SUSPECTS)
+        return True
+
+    @staticmethod
+    def _bound(
+        entries: dict[str, object] | dict[str, None] | dict[str, Suspect], most: int
+    ) -> None:
+        if len(entries) > most:
+            del entries[next(iter(entries))]
--- /dev/null
+++ b/foxtailproxy/routing.py
@@ -0,0 +1,205 @@
+"""Chooses the target for a call: the local one first, then the better of two peers."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from foxtailproxy.ejection import MAX_EJECTED_SHARE, TargetHealth
+from foxtailproxy.load import Load
+from foxtailproxy.models.messages import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.config.rules import Match
+    from foxtailproxy.models.messages import MemberRecord
+    from foxtailproxy.target import Target
+
+LOAD_HALF_LIFE_MS = 200.0
+"""Time in which a load report loses half of its weight, in milliseconds."""
+
+LOCAL_DATA_CENTER_MS = 1.0
+OTHER_REGION_MS = 20.0
+"""Round trips taken into account before any was seen, in milliseconds."""
+
+
+class TargetView:
+    """What this node knows of one peer's target."""
+
+    def __init__(self, clock: Clock, member: MemberRecord) -> None:
+        self.member = member
+        self.health = TargetHealth(clock)
+        self.outstanding = 0
+        self._clock = clock
+        self._load: Load | None = None
+        self._reported_ms = 0.0
+        self._sent_since = 0.0
+
+    def observe(self, load: Load) -> None:
+        """A load report came with an answer."""
+        self._load = load
+        self._reported_ms = self._clock.now_ms()
+        self._sent_since = 0.0
+
+    def sent(self) -> None:
+        """A call was sent to the target."""
+        self.outstanding += 1
+        self._sent_since += 1
+
+    def ended(self) -> None:
+        """A call sent to the target has ended."""
+        self.outstanding -= 1
+
+    def wait_ms(self) -> float:
+        """Expected wait at the target in ms, from an aged report and the calls sent since."""
+        if self._load is None:
+            slots = max(1, self.member.slots)
+            return max(0, self.outstanding + 1 - slots) / slots
+        age = self._clock.now_ms() - self._reported_ms
+        freshness = 0.5 ** (age / LOAD_HALF_LIFE_MS)
+        return self._load.wait_ms(self._sent_since) * freshness
+
+    def occupancy(self) -> float:
+        """Expected calls for each slot, from an aged report and the calls sent since."""
+        if self._load is None:
+            return self.outstanding / max(1, self.member.slots)
+        age = self._clock.now_ms() - self._reported_ms
+        freshness = 0.5 ** (age / LOAD_HALF_LIFE_MS)
+        floor = self.outstanding / max(1, self.member.slots)
+        return max(floor, self._load.occupancy(self._sent_since) * freshness)
+
+
+@dataclass(frozen=True, slots=True)
+class LocalChoice:
+    """Run the call at this node's own target."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerChoice:
+    """Send the call to the node beside another target."""
+
+    view: TargetView
+
+
+Choice = LocalChoice | PeerChoice
+
+LOCAL_ID = ""
+"""Stands for the local target among the targets already tried."""
+
+
+class Router:
+    """Chooses among the targets of a service.
+
+    `spend_paid_link` is asked for the bytes of a call before it may cross to another region.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        region: str,
+        target: Target,
+        spend_paid_link: Callable[[int], bool],
+        rng: random.Random,
+    ) -> None:
+        self.by_id: dict[str, TargetView] = {}
+        self.local_health = TargetHealth(clock)
+        self._clock = clock
+        self._region = region
+        self._target = target
+        self._spend_paid_link = spend_paid_link
+        self._rng = rng
+        self._ids_by_service: dict[str, set[str]] = {}
+
+    def member_changed(self, member: MemberRecord) -> None:
+        """A peer's record changed."""
+        view = self.by_id.get(member.node_id)
+        if view is not None:
+            self._ids_by_service.get(view.member.service, set()).discard(member.node_id)
+        if member.state is MemberState.dead:
+            self.by_id.pop(member.node_id, None)
+            return
+        if view is None or view.member.boot_id != member.boot_id:
+            view = TargetView(self._clock, member)
+            self.by_id[member.node_id] = view
+        view.member = member
+        if member.service and member.slots:
+            self._ids_by_service.setdefault(member.service, set()).add(member.node_id)
+
+    def observe(self, node_id: str, load: Load) -> None:
+        """A load report of a peer's target came in."""
+        view = self.by_id.get(node_id)
+        if view is not None:
+            view.observe(load)
+
+    def choose(self, match: Match, tried: set[str], size: int) -> Choice | None:
+        """The target for a call of `size` bytes that the targets in `tried` did not run."""
+        service = match.service.name
+        local = LOCAL_ID not in tried and self._target.serves(service)
+        peers = self._peers(service, tried)
+        near = [view for view in peers if view.member.region == self._region]
+        best = self._better_of_two(near)
+        if local and self._keep_local(best, match.service.local_margin_ms):
+            return self._local_choice()
+        if best is None or best.wait_ms() > match.rule.hold_ms:
+            far = [view for view in peers if view.member.region != self._region]
+            overflow = self._better_of_two(far)
+            if overflow is not None and self._overflows(best, overflow, size):
+                best = overflow
+        if best is None:
+            return self._local_choice() if local else None
+        if best.health.ejected:
+            best.health.begin_trial()
+        return PeerChoice(best)
+
+    def health_of(self, choice: Choice) -> TargetHealth:
+        """The health of the target that was chosen."""
+        return choice.view.health if isinstance(choice, PeerChoice) else self.local_health
+
+    def failed(self, service: str, health: TargetHealth) -> None:
+        """A call failed at a target of `service`."""
+        healths = [self.by_id[node_id].health for node_id in self._ids_by_service.get(service, ())]
+        healths.append(self.local_health)
+        ejected = sum(1 for other in healths if other.ejected)
+        health.failure((ejected + 1) <= MAX_EJECTED_SHARE * max(2, len(healths)))
+
+    def _local_choice(self) -> Choice:
+        if self.local_health.ejected:
+            self.local_health.begin_trial()
+        return LocalChoice()
+
+    def _peers(self, service: str, tried: set[str]) -> list[TargetView]:
+        views = [
+            self.by_id[node_id]
+            for node_id in self._ids_by_service.get(service, ())
+            if node_id not in tried
+        ]
+        alive = [view for view in views if view.member.state is MemberState.alive]
+        if not alive:
+            alive = [view for view in views if view.member.state is MemberState.suspect]
+        trials = [view for view in alive if view.health.trial_due]
+        if trials:
+            return trials[:1]
+        healthy = [view for view in alive if not view.health.ejected]
+        return healthy or alive
+
+    def _better_of_two(self, views: list[TargetView]) -> TargetView | None:
+        if len(views) <= 1:
+            return views[0] if views else None
+        first, second = self._rng.sample(views, 2)
+        return min(first, second, key=lambda view: (view.wait_ms(), view.occupancy()))
+
+    def _keep_local(self, best: TargetView | None, margin_ms: int) -> bool:
+        if best is None:
+            return True
+        if self.local_health.ejected and not self.local_health.trial_due:
+            return best.health.ejected
+        local_wait = self._target.load().wait_ms()
+        return local_wait <= best.wait_ms() + LOCAL_DATA_CENTER_MS + margin_ms
+
+    def _overflows(self, near: TargetView | None, far: TargetView, size: int) -> bool:
+        if near is not None and near.wait_ms() <= far.wait_ms() + OTHER_REGION_MS:
+            return False
+        return self._spend_paid_link(size)
--- /dev/null
+++ b/foxtailproxy/runs.py
@@ -0,0 +1,218 @@
+"""Runs whose outcome may be asked for more than once, by connections that come and go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from automat import TypeMachineBuilder
+from expression import Error, Ok
+
+from foxtailproxy.http.body import BodyStream, DiscardSink
+from foxtailproxy.http.errors import HttpError
+from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.http.messages import ResponseHead
+
+    Waiter = Callable[[Outcome], None]
+
+TOMBSTONE_MS = 60_000
+"""Time that a run is remembered after its deadline."""
+
+SEALED_RUNS = 100_000
+"""Sealed identifiers remembered at most."""
+
+
+class RunInputs(Protocol):
+    """What can happen to a run."""
+
+    def wait(self, waiter: Waiter) -> None:
+        """Somebody asks for the outcome."""
+
+    def answer(self, head: ResponseHead, payload: bytes) -> None:
+        """The run ended with a small answer."""
+
+    def stream(self, answer: Answer) -> None:
+        """The run gives an answer that is too large to keep."""
+
+    def fail(self, failure: NotRun | Unknown) -> None:
+        """The run ended without an answer."""
+
+    def forget(self) -> None:
+        """Give up the memory of the answer."""
+
+
+class RunCore:
+    """What a run holds."""
+
+    def __init__(self) -> None:
+        self.waiters: list[Waiter] = []
+        self.head: ResponseHead | None = None
+        self.payload = b""
+        self.failure: NotRun | Unknown | None = None
+        self.ended_ms = 0.0
+
+    def give(self, outcome: Callable[[], Outcome]) -> None:
+        """Give the outcome to all that wait."""
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter(outcome())
+
+    def kept_answer(self) -> Outcome:
+        """A fresh copy of the kept answer."""
+        assert self.head is not None
+        return Ok(Answer(self.head, BodyStream.of(self.payload)))
+
+    def kept_failure(self) -> Outcome:
+        """The failure that the run ended with."""
+        assert self.failure is not None
+        return Error(self.failure)
+
+
+_builder = TypeMachineBuilder(RunInputs, RunCore)
+_open = _builder.state("open")
+_answered = _builder.state("answered")
+_failed = _builder.state("failed")
+
+
+@_open.upon(RunInputs.wait).loop()
+def _wait_open(inputs: RunInputs, core: RunCore, waiter: Waiter) -> None:
+    core.waiters.append(waiter)
+
+
+@_open.upon(RunInputs.answer).to(_answered)
+def _keep_answer(inputs: RunInputs, core: RunCore, head: ResponseHead, payload: bytes) -> None:
+    core.head = head
+    core.payload = payload
+    core.give(core.kept_answer)
+
+
+@_open.upon(RunInputs.stream).to(_failed)
+def _pass_stream(inputs: RunInputs, core: RunCore, answer: Answer) -> None:
+    core.failure = Unknown(UnknownReason.ANSWER_NOT_KEPT)
+    if core.waiters:
+        core.waiters.pop(0)(Ok(answer))
+    else:
+        answer.body.attach(DiscardSink())
+    core.give(core.kept_failure)
+
+
+@_open.upon(RunInputs.fail).to(_failed)
+def _keep_failure(inputs: RunInputs, core: RunCore, failure: NotRun | Unknown) -> None:
+    core.failure = failure
+    core.give(core.kept_failure)
+
+
+@_answered.upon(RunInputs.wait).loop()
+def _replay_answer(inputs: RunInputs, core: RunCore, waiter: Waiter) -> None:
+    waiter(core.kept_answer())
+
+
+@_failed.upon(RunInputs.wait).loop()
+def _replay_failure(inputs: RunInputs, core: RunCore, waiter: Waiter) -> None:
+    waiter(core.kept_failure())
+
+
+@_answered.upon(RunInputs.forget).to(_failed)
+def _forget_answer(inputs: RunInputs, core: RunCore) -> None:
+    core.head = None
+    core.payload = b""
+    core.failure = Unknown(UnknownReason.ANSWER_NOT_KEPT)
+
+
+_failed.upon(RunInputs.forget).loop().returns(None)
+_open.upon(RunInputs.forget).loop().returns(None)
+
+_build_run = _builder.build()
+
+
+class SharedRun:
+    """One run and all that ask for its outcome."""
+
+    def __init__(self, run_id: str, deadline_ms: float) -> None:
+        self.run_id = run_id
+        self.deadline_ms = deadline_ms
+        self.core = RunCore()
+        self._machine = _build_run(self.core)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the outcome is known."""
+        return self.core.head is not None or self.core.failure is not None
+
+    def wait(self, waiter: Waiter) -> None:
+        """Call `waiter` with the outcome, now or once it is known."""
+        self._machine.wait(waiter)
+
+    def fail(self, failure: NotRun | Unknown) -> None:
+        """End the run without an answer."""
+        self._machine.fail(failure)
+
+    def forget(self) -> None:
+        """Give up the memory of the answer."""
+        self._machine.forget()
+
+    async def settle(self, outcome: Outcome, limit: int) -> None:
+        """End the run; an answer of up to `limit` bytes is kept."""
+        if outcome.is_error():
+            self._machine.fail(outcome.error)
+            return
+        answer = outcome.ok
+        try:
+            whole = await answer.body.buffer(limit)
+        except HttpError:
+            self._machine.fail(Unknown(UnknownReason.ANSWER_CUT))
+            return
+        if whole:
+            self._machine.answer(answer.head, answer.body.held())
+        else:
+            self._machine.stream(answer)
+
+
+class RunTable:
+    """Runs by their identifier, with a bound on the answers kept.
+
+    `kept_bytes` bounds the memory for answers, `kept_ms` the time they are kept.
+    """
+
+    def __init__(self, clock: Clock, kept_bytes: int, kept_ms: float) -> None:
+        self.by_id: dict[str, SharedRun] = {}
+        self._clock = clock
+        self._kept_bytes = kept_bytes
+        self._kept_ms = kept_ms
+        self._sealed: dict[str, None] = {}
+
+    def open(self, run_id: str, deadline_ms: float) -> SharedRun:
+        """A new run."""
+        run = SharedRun(run_id, deadline_ms)
+        self.by_id[run_id] = run
+        if run_id in self._sealed:
+            run.fail(NotRun(NotRunReason.SEALED))
+        return run
+
+    def find(self, run_id: str) -> SharedRun | None:
+        """The run, or `None` where it was never opened or is forgotten."""
+        return self.by_id.get(run_id)
+
+    def seal(self, run_id: str) -> None:
+        """Make sure that a run that has not been opened never will be."""
+        self._sealed[run_id] = None
+        if len(self._sealed) > SEALED_RUNS:
+            del self._sealed[next(iter(self._sealed))]
+
+    def sweep(self) -> None:
+        """Forget answers past their time or beyond the memory bound, and old runs."""
+        now = self._clock.now_ms()
+        kept = 0
+        for run in reversed(list(self.by_id.values())):
+            core = run.core
+            if run.ended and not core.ended_ms:
+                core.ended_ms = now
+            kept += len(core.payload)
+            if run.ended and (kept > self._kept_bytes or now - core.ended_ms > self._kept_ms):
+                run.forget()
+            if run.ended and now > max(run.deadline_ms, core.ended_ms) + TOMBSTONE_MS:
+                del self.by_id[run.run_id]
--- /dev/null
+++ b/foxtailproxy/token_bucket.py
@@ -0,0 +1,50 @@
+"""A budget of bytes a second."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from foxtailproxy.clock import Clock
+
+WINDOW_MS = 10_000
+"""Over any time as long as this or longer, the bytes spent stay within the budget."""
+
+BURST_SHARE = 0.5
+"""Part of a window's budget that may be spent at once; the rest comes evenly."""
+
+
+class TokenBucket:
+    """Spends at most `bytes_per_s` over any window of `WINDOW_MS`."""
+
+    def __init__(self, clock: Clock, bytes_per_s: int) -> None:
+        self._clock = clock
+        self._last_ms = clock.now_ms()
+        self._tokens = 0.0
+        self.set_rate(bytes_per_s)
+        self._tokens = self._capacity
+
+    def set_rate(self, bytes_per_s: int) -> None:
+        """Change the budget."""
+        self._capacity = bytes_per_s * WINDOW_MS / 1000 * BURST_SHARE
+        self._rate_per_ms = bytes_per_s / 1000 * (1 - BURST_SHARE)
+        self._tokens = min(self._tokens, self._capacity)
+
+    def spend(self, size: int) -> bool:
+        """Spend `size` bytes if the budget has them."""
+        self._refill()
+        if self._tokens < size:
+            return False
+        self._tokens -= size
+        return True
+
+    def charge(self, size: int) -> None:
+        """Take `size` bytes that have been spent already; later spending waits for them."""
+        self._refill()
+        self._tokens -= size
+
+    def _refill(self) -> None:
+        now = self._clock.now_ms()
+        self._tokens += (now - self._last_ms) * self._rate_per_ms
+        self._tokens = min(self._tokens, self._capacity)
+        self._last_ms = now
--- /dev/null
+++ b/tools/generate_models.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Generates the models from the schemas. Usage: tools/generate_models.sh [OUTPUT_FOLDER]
+set -euo pipefail
+out="${1:-foxtailproxy/models}"
+mkdir -p "$out"
+for name in settings rules messages; do
+  datamodel-codegen \
+    --input "foxtailproxy/schema/$name.schema.json" --input-file-type jsonschema \
+    --output "$out/$name.py" --output-model-type msgspec.Struct \
+    --disable-timestamp --use-schema-description --use-field-description \
+    --target-python-version 3.11 --use-annotated --use-union-operator --use-standard-collections \
+    --formatters black 2>/dev/null
+  # Each optional field has a default, so no field can be unset.
+  sed -i -e '/^ *| UnsetType$/d' -e 's/ | UnsetType\b//' "$out/$name.py"
+  sed -i -e '1,2d' -e 's/UNSET, UnsetType, //; s/, UNSET, UnsetType$//; s/, UnsetType, /, /' "$out/$name.py"
+  sed -i -e "1i \"\"\"Models generated from \`schema/$name.schema.json\`.\"\"\"" "$out/$name.py"
+done
+black -q "$out"
