Serve calls end to end from separate processes

Cause: two nodes that registered at the same time each listed the platform before the other's record was there, so neither learned of the other; seen in a run of four nodes that did not converge in 20 s. Ruled out: gossip itself (packets arrived once any address was known).

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -25,12 +25,25 @@
     detail: str = ""
 
 
+class MemberStatus(msgspec.Struct):
+    """One node, for operators."""
+
+    node_id: str
+    state: str
+    region: str
+    data_center: str
+    address: str
+    admin_port: int
+    service: str
+    slots: int
+
+
 class StatusReport(msgspec.Struct):
     """What a node tells of itself; times in milliseconds."""
 
     version: str
     state: str
-    me: MemberRecord
+    me: MemberStatus
     config_generation: int
     config_change: str
     upstream: str
@@ -38,7 +51,7 @@
     queued: int
     slots: int
     service_ms: float
-    members: list[MemberRecord]
+    members: list[MemberStatus]
     ejected: list[str]
     traffic: dict[str, int]
     platform: dict[str, int]
@@ -85,7 +98,7 @@
         return StatusReport(
             version=__version__,
             state=node.core.name,
-            me=node.table.me,
+            me=_member_status(node.table.me),
             config_generation=generation,
             config_change=change,
             upstream=upstream,
@@ -93,7 +106,7 @@
             queued=load.queued,
             slots=load.slots,
             service_ms=load.service_ms,
-            members=sorted(node.table.by_id.values(), key=lambda member: member.node_id),
+            members=[_member_status(member) for _, member in sorted(node.table.by_id.items())],
             ejected=[name for name, view in node.router.by_id.items() if view.health.ejected],
             traffic=_fields(node.gossip.counters),
             platform=_fields(node.platform.counters),
@@ -189,6 +202,10 @@
         return _json(request, {"released": fingerprint})
 
 
+def _member_status(member: MemberRecord) -> MemberStatus:
+    return msgspec.convert(member, MemberStatus, from_attributes=True)
+
+
 def _json(request: Any, value: Any) -> bytes:
     request.setHeader("content-type", "application/json")
     return msgspec.json.encode(value) + b"\n"
--- a/foxtailproxy/clock.py
+++ b/foxtailproxy/clock.py
@@ -10,10 +10,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall
-
 MS_PER_SECOND = 1000.0
 
+Timer = Any
+"""A call scheduled in the reactor: an `IDelayedCall`."""
+
 
 class Clock:
     """Reads time and schedules calls, in milliseconds.
@@ -28,7 +29,7 @@
         """Milliseconds since an arbitrary start; never goes back."""
         return self.source.seconds() * MS_PER_SECOND
 
-    def call_later(self, delay_ms: float, function: Callable[..., Any], *args: Any) -> IDelayedCall:
+    def call_later(self, delay_ms: float, function: Callable[..., Any], *args: Any) -> Timer:
         """Call `function` after `delay_ms`."""
         return self.source.callLater(max(0.0, delay_ms) / MS_PER_SECOND, function, *args)
 
@@ -46,7 +47,7 @@
         return loop
 
 
-def cancel_timer(timer: IDelayedCall | None) -> None:
+def cancel_timer(timer: Timer | None) -> None:
     """Cancel `timer` if it is still pending."""
     if timer is not None and timer.active():
         timer.cancel()
--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -45,8 +45,7 @@
 """Time in which news is gathered before it is passed on."""
 
 NEAR_FANOUT = 3
-FAR_FANOUT = 1
-"""Nodes of the own data centre, and of each other one, that news is passed to."""
+"""Nodes of the own data centre that news is passed to."""
 
 RELAYS = 2
 """Nodes asked to ping one that did not answer."""
@@ -162,21 +161,22 @@
         self._push_due = False
         crashes, self._crash_news = list(self._crash_news.values()), {}
         members = [self._table.by_id[name] for name in self._news if name in self._table.by_id]
-        for member in self._fanout():
+        for member in self._fanout(self._my_id in self._news):
             self._send_records(member, PacketKind.push, members, crashes)
         self._news = {name: left - 1 for name, left in self._news.items() if left > 1}
         if self._news:
             self._schedule_push()
 
-    def _fanout(self) -> list[MemberRecord]:
+    def _fanout(self, own_news: bool) -> list[MemberRecord]:
+        """Nodes to pass news to; that of others crosses to a data centre once from each other."""
         by_data_center: dict[str, list[MemberRecord]] = {}
         for record in self._table.others():
             by_data_center.setdefault(record.data_center, []).append(record)
-        chosen = []
-        for data_center, records in by_data_center.items():
-            near = data_center == self._table.me.data_center
-            count = min(len(records), NEAR_FANOUT if near else FAR_FANOUT)
-            chosen.extend(self._rng.sample(records, count))
+        near = by_data_center.pop(self._table.me.data_center, [])
+        chosen = self._rng.sample(near, min(len(near), NEAR_FANOUT))
+        for records in by_data_center.values():
+            if own_news or self._rng.random() < 1 / (len(near) + 1):
+                chosen.append(self._rng.choice(records))
         return chosen
 
     # Failure detection
@@ -413,7 +413,9 @@
             replace(packet, config_generation=generation, config_change=change)
         )
         size = len(data) + PACKET_OVERHEAD_BYTES
-        if (paid and not self.paid_budget.spend(size)) or not self.budget.spend(size):
+        urgent = packet.kind is PacketKind.push
+        allowed = not paid or self.paid_budget.spend(size, urgent)
+        if not allowed or not self.budget.spend(size, urgent):
             self.counters.skipped_packets += 1
             return False
         self.counters.sent_packets += 1
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -21,9 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from twisted.internet.interfaces import IDelayedCall
-
-    from foxtailproxy.clock import Clock
+    from foxtailproxy.clock import Clock, Timer
 
 log = structlog.get_logger()
 
@@ -189,7 +187,7 @@
         self._headers: messages.HeaderList = []
         self._head_size = 0
         self._in_head = False
-        self._timer: IDelayedCall | None = None
+        self._timer: Timer | None = None
         self._dead = False
         self._pauses: set[str] = set()
 
@@ -374,7 +372,7 @@
         self.transport.loseConnection()
 
     def _serve(self, exchange: ServerExchange) -> None:
-        done = ensureDeferred(self._handler(exchange))  # type: ignore[arg-type]
+        done: Any = ensureDeferred(self._handler(exchange))  # type: ignore[arg-type]
         done.addErrback(self._handler_failed, exchange)
 
     def _handler_failed(self, failure: Any, exchange: ServerExchange) -> None:
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -17,7 +17,7 @@
     dead = "dead"
 
 
-class MemberRecord(Struct):
+class MemberRecord(Struct, array_like=True):
     """
     One node as its peers know it.
     """
@@ -77,7 +77,7 @@
 Upstream: TypeAlias = Annotated[str, Meta(max_length=63)]
 
 
-class CrashReport(Struct):
+class CrashReport(Struct, array_like=True):
     """
     How many upstreams a request fingerprint has crashed.
     """
@@ -86,7 +86,7 @@
     upstreams: Annotated[list[Upstream], Meta(max_length=16)]
 
 
-class GossipPacket(Struct):
+class GossipPacket(Struct, array_like=True):
     """
     One datagram between two nodes.
     """
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -46,6 +46,8 @@
 REFRESH_MS = 60_000
 """Time between two writes of the node's own record to the platform."""
 
+BOOT_ID_LENGTH = 12
+
 REFRESH_JITTER = 0.2
 
 REGISTER_RETRY_MS = 1_000
@@ -129,7 +131,7 @@
             peer_port=node.peer_port,
             gossip_port=node.gossip_port,
             admin_port=node.admin_port,
-            boot_id=new_id(),
+            boot_id=new_id()[:BOOT_ID_LENGTH],
         )
 
     # Starting and closing
@@ -162,6 +164,8 @@
             host, _, port = address.rpartition(":")
             self.gossip.compare_with_address((host, int(port)))
         while self.core.name == "serving":
+            # Registered first, so that of two nodes that start at once one sees the other.
+            await self._register()
             listing = await self.platform.list_objects(MEMBER_PREFIX)
             if listing.is_ok() and await self.config.read_platform():
                 for stored in listing.ok.objects:
@@ -180,13 +184,19 @@
             log.warning("member_malformed")
 
     async def _keep_registered(self) -> None:
+        registered = True
         while self.core.name == "serving":
-            self._registered = True
-            value = msgspec.json.encode(self.table.me).decode()
-            written = await self.platform.put(MEMBER_PREFIX + self.table.me.node_id, value)
             jitter = 1 + REFRESH_JITTER * (2 * self._rng.random() - 1)
-            pause = REFRESH_MS * jitter if written.is_ok() else REGISTER_RETRY_MS * jitter
-            await self.clock.sleep(pause)
+            await self.clock.sleep((REFRESH_MS if registered else REGISTER_RETRY_MS) * jitter)
+            if self.core.name == "serving":
+                registered = await self._register()
+
+    async def _register(self) -> bool:
+        """Write this node's record to the platform; returns whether it was accepted."""
+        self._registered = True
+        value = msgspec.json.encode(self.table.me).decode()
+        written = await self.platform.put(MEMBER_PREFIX + self.table.me.node_id, value)
+        return written.is_ok()
 
     def drain(self) -> Deferred[None]:
         """Take no new work, finish what runs, then close; fires once closed."""
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -164,10 +164,10 @@
         head = RequestHead(b"POST", path, [(b"host", b"node"), (DEADLINE, remaining)])
         connection = await self._pool(address, port).acquire(fresh=True)
         outcome = await self._exchange(connection, head, BodyStream.of(b""), peer)
-        if outcome.is_error() and isinstance(outcome.error, NotRun):
+        not_run = outcome.is_error() and isinstance(outcome.error, NotRun)
+        if not_run and call.remaining_ms(self._clock) <= 0:
             # The node remembers a call only until some time after its deadline.
-            if call.remaining_ms(self._clock) <= 0:
-                return Error(Unknown(UnknownReason.DEADLINE))
+            return Error(Unknown(UnknownReason.DEADLINE))
         return outcome
 
     async def _exchange(
@@ -186,7 +186,7 @@
 
     async def _read(self, response: ClientResponse) -> Outcome:
         failure = parse_failure(response.head.headers)
-        whole = await response.body.buffer(self._limits.replay_bytes)
+        await response.body.buffer(self._limits.replay_bytes)
         if failure is not None:
             return Error(failure)
         headers = without_own(response.head.headers)
--- a/foxtailproxy/platform_client.py
+++ b/foxtailproxy/platform_client.py
@@ -9,6 +9,7 @@
 import msgspec
 import treq
 from expression import Error, Ok, Result
+from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError
 from twisted.web.client import Agent, HTTPConnectionPool
 
@@ -64,7 +65,7 @@
         pool.retryAutomatically = False
         self._pool = pool
         self._agent: Any = Agent(reactor, connectTimeout=self._timeout_s, pool=pool)
-        self._treq = treq.client.HTTPClient(self._agent)
+        self._treq = HTTPClient(self._agent)  # type: ignore[arg-type]
 
     async def close(self) -> None:
         """Close idle connections."""
--- a/foxtailproxy/runs.py
+++ b/foxtailproxy/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 from automat import TypeMachineBuilder
@@ -9,15 +10,13 @@
 
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import HttpError
+from foxtailproxy.http.messages import ResponseHead
 from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from foxtailproxy.clock import Clock
-    from foxtailproxy.http.messages import ResponseHead
 
-    Waiter = Callable[[Outcome], None]
+Waiter = Callable[[Outcome], None]
 
 TOMBSTONE_MS = 60_000
 """Time that a run is remembered after its deadline."""
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -174,7 +174,7 @@
             running.connection.fail(ExchangeCancelled())
 
     def _refusal(self, call: Call) -> NotRun | None:
-        if self.announcement is None or not call.service.name == self.announcement.service:
+        if self.announcement is None or call.service.name != self.announcement.service:
             return NotRun(NotRunReason.NO_TARGET)
         if self.leaving:
             return NotRun(NotRunReason.LEAVING)
--- a/foxtailproxy/token_bucket.py
+++ b/foxtailproxy/token_bucket.py
@@ -10,8 +10,11 @@
 WINDOW_MS = 10_000
 """Over any time as long as this or longer, the bytes spent stay within the budget."""
 
-BURST_SHARE = 0.5
-"""Part of a window's budget that may be spent at once; the rest comes evenly."""
+BURST_SHARE = 0.3
+"""Part of a window's budget that may be spent at once."""
+
+DEBT_SHARE = 0.3
+"""Part of a window's budget that urgent spending may take in advance; the rest comes evenly."""
 
 
 class TokenBucket:
@@ -27,13 +30,14 @@
     def set_rate(self, bytes_per_s: int) -> None:
         """Change the budget."""
         self._capacity = bytes_per_s * WINDOW_MS / 1000 * BURST_SHARE
-        self._rate_per_ms = bytes_per_s / 1000 * (1 - BURST_SHARE)
+        self._debt = bytes_per_s * WINDOW_MS / 1000 * DEBT_SHARE
+        self._rate_per_ms = bytes_per_s / 1000 * (1 - BURST_SHARE - DEBT_SHARE)
         self._tokens = min(self._tokens, self._capacity)
 
-    def spend(self, size: int) -> bool:
-        """Spend `size` bytes if the budget has them."""
+    def spend(self, size: int, urgent: bool = False) -> bool:
+        """Spend `size` bytes if the budget has them, or for urgent ones if it soon will."""
         self._refill()
-        if self._tokens < size:
+        if self._tokens < size - (self._debt if urgent else 0):
             return False
         self._tokens -= size
         return True
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,253 @@
+"""Starts a platform, nodes and upstreams as separate processes, for the demo, tests and bench."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ADDRESS = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 5.0
+POLL_S = 0.02
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((ADDRESS, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def http_json(method: str, url: str, body: Any = None, timeout_s: float = 5.0) -> Any:
+    """Call a JSON interface. Raises `OSError` where it does not answer."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=timeout_s) as response:
+        return json.loads(response.read() or b"null")
+
+
+@dataclass(slots=True)
+class Member:
+    """One node with its upstream."""
+
+    node_id: str
+    region: str
+    data_center: str
+    service: str
+    caller_port: int
+    peer_port: int
+    admin_port: int
+    gossip_port: int
+    upstream_port: int
+    slots: int
+    run_ms: float
+
+    @property
+    def admin(self) -> str:
+        """Address of the admin port."""
+        return f"{ADDRESS}:{self.admin_port}"
+
+    @property
+    def upstream(self) -> str:
+        """Address of the upstream's control interface."""
+        return f"http://{ADDRESS}:{self.upstream_port}/_standin"
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The processes of one run, with their files under `folder`."""
+
+    folder: Path
+    limits: dict[str, Any] = field(default_factory=dict)
+    members: list[Member] = field(default_factory=list)
+    by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    platform_port: int = 0
+    log_calls: bool = True
+
+    @property
+    def platform(self) -> str:
+        """Address of the platform."""
+        return f"http://{ADDRESS}:{self.platform_port}"
+
+    def start_platform(self, port: int | None = None) -> None:
+        """Start the platform's stand-in."""
+        self.platform_port = port or free_ports(1)[0]
+        self._spawn("platform", "standins.platform", "--port", str(self.platform_port))
+        self._wait_for(f"{self.platform}/counters")
+
+    def add(
+        self,
+        node_id: str,
+        region: str,
+        data_center: str,
+        service: str,
+        slots: int = 12,
+        run_ms: float = 5.0,
+    ) -> Member:
+        """Describe a node and its upstream."""
+        ports = free_ports(5)
+        member = Member(node_id, region, data_center, service, *ports, slots, run_ms)
+        self.members.append(member)
+        return member
+
+    def start_members(self) -> None:
+        """Start all nodes and upstreams, and wait until they serve."""
+        for member in self.members:
+            self.start_node(member)
+        for member in self.members:
+            self._wait_for(f"http://{member.admin}/status")
+            self.start_upstream(member)
+        for member in self.members:
+            self.wait_until(lambda member=member: self._serves(member), f"{member.node_id} serves")
+
+    def _serves(self, member: Member) -> bool:
+        status = self.status(member)
+        known = [m for m in status["members"] if m["service"] and m["state"] == "alive"]
+        return status["upstream"] == "serving" and len(known) >= len(self.members)
+
+    def start_node(self, member: Member, seeds: str = "") -> None:
+        """Start one node."""
+        limits = "\n".join(f"{key} = {value}" for key, value in self.limits.items())
+        settings = self.folder / f"{member.node_id}.ini"
+        settings.write_text(
+            f"[node]\nnode_id = {member.node_id}\nregion = {member.region}\n"
+            f"data_center = {member.data_center}\naddress = {ADDRESS}\n"
+            f"caller_port = {member.caller_port}\npeer_port = {member.peer_port}\n"
+            f"admin_port = {member.admin_port}\ngossip_port = {member.gossip_port}\n"
+            f"log_calls = {str(self.log_calls).lower()}\n"
+            f"[platform]\nurl = {self.platform}\n[peers]\nseeds = {seeds}\n[limits]\n{limits}\n"
+        )
+        self._spawn(member.node_id, "foxtailproxy", "node", str(settings))
+
+    def start_upstream(self, member: Member, seed: int = 1) -> None:
+        """Start one upstream."""
+        self._spawn(
+            upstream_name(member),
+            "standins.upstream",
+            *("--port", str(member.upstream_port), "--service", member.service),
+            *("--slots", str(member.slots), "--run-ms", str(member.run_ms)),
+            *("--admin", member.admin, "--seed", str(seed)),
+        )
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def command(self, *arguments: str, check: bool = True) -> subprocess.CompletedProcess[str]:
+        """Run the operators' client."""
+        return subprocess.run(
+            [sys.executable, "-m", "foxtailproxy", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=check,
+        )
+
+    def apply(self, text: str) -> None:
+        """Put a configuration in force and wait until all nodes have it."""
+        path = self.folder / "services.ini"
+        path.write_text(text)
+        report = self.command("config", "apply", str(path), "--platform", self.platform, "--json")
+        generation = json.loads(report.stdout)["generation"]
+        self.wait_until(lambda: self.all_have(generation), f"generation {generation} in force")
+
+    def all_have(self, generation: int) -> bool:
+        """Whether every live node has a configuration at least as new."""
+        return all(
+            self.status(member)["config_generation"] >= generation
+            for member in self.members
+            if self.by_name[member.node_id].poll() is None
+        )
+
+    def status(self, member: Member) -> Any:
+        """A node's status."""
+        return http_json("GET", f"http://{member.admin}/status")
+
+    def ledger(self) -> list[dict[str, Any]]:
+        """All requests that ran at the upstreams that live."""
+        entries: list[dict[str, Any]] = []
+        for member in self.members:
+            try:
+                entries.extend(http_json("GET", f"{member.upstream}/ledger"))
+            except OSError:
+                continue
+        return entries
+
+    def set_faults(self, member: Member, **faults: Any) -> None:
+        """Set an upstream's faults."""
+        http_json("POST", f"{member.upstream}/faults", faults)
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Set the platform's faults."""
+        http_json("POST", f"{self.platform}/faults", faults)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this fleet."""
+        self.by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process of this fleet."""
+        self.by_name[name].kill()
+        self.by_name[name].wait()
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in self.by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.by_name.values():
+            process.wait(STOP_TIMEOUT_S)
+
+    def memory_kb(self, name: str) -> int:
+        """Resident memory of a process, in KB."""
+        with open(f"/proc/{self.by_name[name].pid}/status", encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1])
+        return 0
+
+    def cpu_s(self, name: str) -> float:
+        """Processor time that a process has used, in seconds."""
+        with open(f"/proc/{self.by_name[name].pid}/stat", encoding="ascii") as stat:
+            fields = stat.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def _wait_for(self, url: str) -> None:
+        self.wait_until(lambda: http_json("GET", url) is not None, url)
+
+    def wait_until(self, condition: Any, what: str, timeout_s: float = START_TIMEOUT_S) -> float:
+        """Wait until `condition()` holds; returns the seconds waited. Raises `TimeoutError`."""
+        begun = time.monotonic()
+        while time.monotonic() - begun < timeout_s:
+            try:
+                if condition():
+                    return time.monotonic() - begun
+            except OSError:
+                pass
+            time.sleep(POLL_S)
+        raise TimeoutError(f"{what} did not happen within {timeout_s} s")
+
+
+def upstream_name(member: Member) -> str:
+    """Name of the process of a member's upstream."""
+    return f"{member.node_id}-upstream"
