Keep connections open and write to sockets at once

Cause: the parser tells after the end of a body that a connection may not be kept, so each call opened a new connection; each write cost three more system calls; timers and digests were made for each call. Ruled out: logging (with and without log lines the added time was the same within noise), GC (frozen). Change: keep-alive is read when the head is complete; writes go to the socket at once; one look at all connections in place of timers for each; digests and Result wrappers only where they are needed.

--- a/foxtailproxy/call.py
+++ b/foxtailproxy/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-import uuid
+import os
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -19,6 +19,7 @@
 """Calls that may stand behind one another; more is taken as a loop."""
 
 FINGERPRINT_BYTES = 16
+ID_BYTES = 16
 
 
 @dataclass(slots=True)
@@ -40,7 +41,19 @@
     key: str = ""
     crashed_upstreams: list[str] = field(default_factory=list)
     attempt_id: str = field(default_factory=lambda: new_id())
-    fingerprint: str = ""
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """A digest that is the same on all nodes for the same request."""
+        if not self._fingerprint:
+            self._fingerprint = fingerprint_of(self.service.name, self.head, self.payload)
+        return self._fingerprint
+
+    @property
+    def local_key(self) -> int:
+        """A hash that is the same in this process for the same request."""
+        return hash((self.service.name, self.head.method, self.head.target, self.payload))
 
     @property
     def match(self) -> Match:
@@ -71,7 +84,7 @@
 
 def new_id() -> str:
     """A unique identifier for an attempt, a claim or a process."""
-    return uuid.uuid4().hex
+    return os.urandom(ID_BYTES).hex()
 
 
 def fingerprint_of(service: str, head: RequestHead, payload: bytes | None) -> str:
--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
-from expression import Error, Ok, Result
+from expression import Error
 from twisted.internet.defer import ensureDeferred
 
-from foxtailproxy.call import MAX_DEPTH, Call, fingerprint_of, new_id
+from foxtailproxy.call import MAX_DEPTH, Call, new_id
 from foxtailproxy.clock import cancel_timer
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import DiscardSink
@@ -133,11 +132,10 @@
         """Serve one request of a caller."""
         self.pending += 1
         try:
-            received = await self._receive(exchange)
-            if received.is_error():
-                respond(exchange, new_id(), Error(received.error))
+            call = await self._receive(exchange)
+            if isinstance(call, NotRun):
+                respond(exchange, new_id(), Error(call))
                 return
-            call = received.ok
             pending = PendingCall(self, exchange, call)
             pending.finish(await self._decide(call))
             self._cancelled.discard(call.attempt_id)
@@ -169,27 +167,29 @@
 
     # Receiving
 
-    async def _receive(self, exchange: ServerExchange) -> Result[Call, NotRun]:
+    async def _receive(self, exchange: ServerExchange) -> Call | NotRun:
         headers = exchange.head.headers
         match = self._match(exchange.head)
-        if match.is_error():
-            return Error(match.error)
+        if isinstance(match, NotRun):
+            return match
         depth = read_int(headers, DEPTH, 0) + 1
         if depth > MAX_DEPTH:
-            return Error(NotRun(NotRunReason.TOO_DEEP))
+            return NotRun(NotRunReason.TOO_DEEP)
         key = messages.get_text(headers, KEY)
         if len(key) > MAX_KEY_LENGTH:
-            return Error(NotRun(NotRunReason.BAD_REQUEST))
+            return NotRun(NotRunReason.BAD_REQUEST)
         exchange.accept_body()
         try:
             whole = await exchange.body.buffer(self._limits.replay_bytes)
         except HttpError:
-            return Error(NotRun(NotRunReason.REQUEST_CUT))
+            return NotRun(NotRunReason.REQUEST_CUT)
         payload = exchange.body.held() if whole else None
-        service, rule = match.ok.service, match.ok.rule
+        service, rule = match.service, match.rule
         allowed_ms = min(rule.deadline_ms, read_int(headers, DEADLINE, rule.deadline_ms))
         call = Call(
-            head=replace(exchange.head, headers=without_own(headers)),
+            head=messages.RequestHead(
+                exchange.head.method, exchange.head.target, without_own(headers)
+            ),
             service=service,
             rule=rule,
             tenant=messages.get_text(headers, service.tenant_header.encode()),
@@ -198,21 +198,20 @@
             payload=payload,
             stream=exchange.body,
             key="" if rule.idempotent else key,
-            fingerprint=fingerprint_of(service.name, exchange.head, payload),
         )
-        call.crashed_upstreams = self._quarantine.crashed_upstreams(call.fingerprint)
-        return Ok(call)
+        call.crashed_upstreams = self._quarantine.crashed_upstreams(call)
+        return call
 
-    def _match(self, head: messages.RequestHead) -> Result[Match, NotRun]:
+    def _match(self, head: messages.RequestHead) -> Match | NotRun:
         book = self._config.book
         if book is None:
-            return Error(NotRun(NotRunReason.NO_CONFIGURATION))
+            return NotRun(NotRunReason.NO_CONFIGURATION)
         host = messages.get_text(head.headers, b"host")
         path = head.target.partition(b"?")[0].decode("latin-1")
         match = book.match(host, head.method.decode(), path)
         if match is None:
-            return Error(NotRun(NotRunReason.UNKNOWN_SERVICE))
-        return Ok(match)
+            return NotRun(NotRunReason.UNKNOWN_SERVICE)
+        return match
 
     # Deciding
 
@@ -244,7 +243,7 @@
         if book is None:
             return False
         fleet = book.fleet
-        return self._quarantine.blocked(call.fingerprint, fleet.crash_limit, fleet.quarantine_ms)
+        return self._quarantine.blocked(call, fleet.crash_limit, fleet.quarantine_ms)
 
     async def _dispatch(self, call: Call) -> Outcome:
         """Send a call to one target after another until one answers."""
@@ -293,7 +292,7 @@
             self._router.failed(call.service.name, health)
         elif outcome.is_ok():
             health.success()
-            self._quarantine.completed(call.fingerprint)
+            self._quarantine.completed(call)
         return outcome
 
     async def _run_here(self, call: Call) -> Outcome:
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -14,6 +14,7 @@
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import BodyCut, ConnectionCut, HttpError, MalformedResponse
+from foxtailproxy.http.transport import write_now
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,6 +62,7 @@
         self._head_done = False
         self._finished = False
         self._surplus = False
+        self._keep_alive = False
 
     @property
     def busy(self) -> bool:
@@ -87,9 +89,9 @@
         held = body.held() if body.ended and length is not None else None
         if held is not None:
             self._request_sent = True
-            self.transport.write(messages.format_request(head, length) + held)
+            write_now(self.transport, messages.format_request(head, length) + held)
         else:
-            self.transport.write(messages.format_request(head, length))
+            write_now(self.transport, messages.format_request(head, length))
             body.attach(self)
         return waiting
 
@@ -98,12 +100,14 @@
     def body_data(self, data: bytes) -> None:
         """Send the next bytes of the request's body."""
         if not self.closed:
-            self.transport.write(messages.format_chunk(data) if self._request_chunked else data)
+            write_now(
+                self.transport, messages.format_chunk(data) if self._request_chunked else data
+            )
 
     def body_end(self) -> None:
         """The request's body is whole."""
         if not self.closed and self._request_chunked:
-            self.transport.write(messages.LAST_CHUNK)
+            write_now(self.transport, messages.LAST_CHUNK)
         self._request_sent = True
 
     def body_failed(self, error: HttpError) -> None:
@@ -204,6 +208,7 @@
         status = self._parser.get_status_code()
         if status < 200 or self._waiting is None:
             return
+        self._keep_alive = self._may_reuse(status)
         head = messages.ResponseHead(status, self._reason, self._headers)
         length = messages.get_header(self._headers, b"content-length")
         body = BodyStream(None if length is None else int(length), self)
@@ -215,6 +220,12 @@
         waiting, self._waiting = self._waiting, None
         waiting.callback(ClientResponse(head, body))
 
+    def _may_reuse(self, status: int) -> bool:
+        """Whether the connection stays open; the parser knows only before the body has ended."""
+        if self._head_request or status in messages.BODILESS_STATUSES:
+            return b"close" not in messages.connection_options(self._headers)
+        return self._parser.should_keep_alive()
+
     def on_body(self, data: bytes) -> None:
         """Some bytes of the body."""
         if self._response_body is not None:
@@ -232,10 +243,7 @@
             body.end()
 
     def _exchange_done(self) -> None:
-        keep = self._parser.should_keep_alive() or self._head_request
-        if b"close" in messages.connection_options(self._headers):
-            keep = False
-        if not keep or self._surplus or not self._request_sent or self.closed:
+        if not self._keep_alive or self._surplus or not self._request_sent or self.closed:
             self.abort()
         elif self.on_idle is not None:
             self.resume_body()
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -13,21 +13,26 @@
 from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
 
-from foxtailproxy.clock import cancel_timer
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import BodyTooLarge, ConnectionCut, HttpError
+from foxtailproxy.http.transport import write_now
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from foxtailproxy.clock import Clock, Timer
+    from twisted.internet.task import LoopingCall
+
+    from foxtailproxy.clock import Clock
 
 log = structlog.get_logger()
 
 PIPELINE_LIMIT = 8
 """Requests of one connection that may wait for their turn."""
 
+TIME_CHECK_MS = 100
+"""Time between two looks for clients that take too long, in milliseconds."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -89,7 +94,13 @@
         self.started = True
         self._sending = body
         framing = self._frame(head, body)
-        self._connection.write(messages.format_response(head, framing))
+        wire_head = messages.format_response(head, framing)
+        if body.ended and self._has_body and body.size == body.length:
+            # One write, so that the client reads head and body at once.
+            self._connection.write(wire_head + body.held())
+            self._finish()
+            return
+        self._connection.write(wire_head)
         body.attach(self)
 
     def _frame(self, head: messages.ResponseHead, body: BodyStream) -> messages.HeaderList:
@@ -133,6 +144,9 @@
             return
         if self._chunked:
             self._connection.write(messages.LAST_CHUNK)
+        self._finish()
+
+    def _finish(self) -> None:
         self.finished = True
         self._connection.exchange_finished(self)
 
@@ -187,7 +201,7 @@
         self._headers: messages.HeaderList = []
         self._head_size = 0
         self._in_head = False
-        self._timer: Timer | None = None
+        self._due_ms = 0.0
         self._dead = False
         self._pauses: set[str] = set()
 
@@ -219,7 +233,6 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Tell the exchanges that their client has gone."""
         self._dead = True
-        cancel_timer(self._timer)
         self.factory.connections.discard(self)
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
@@ -404,7 +417,7 @@
     def write(self, data: bytes) -> None:
         """Send bytes to the client."""
         if self.transport is not None and self.connected:
-            self.transport.write(data)
+            write_now(self.transport, data)
 
     def abort(self) -> None:
         """Cut the connection at once."""
@@ -424,14 +437,15 @@
             self.transport.loseConnection()
 
     def _start_timer(self, delay_ms: float) -> None:
-        cancel_timer(self._timer)
-        self._timer = self._clock.call_later(delay_ms, self._timed_out)
+        self._due_ms = self._clock.now_ms() + delay_ms
 
     def _stop_timer(self) -> None:
-        cancel_timer(self._timer)
-        self._timer = None
+        self._due_ms = 0.0
 
-    def _timed_out(self) -> None:
+    def check_time(self, now_ms: float) -> None:
+        """Close the connection where the client has taken too long."""
+        if not self._due_ms or now_ms < self._due_ms or self._dead:
+            return
         if self._in_head:
             self._reject(408, "header-timeout")
         else:
@@ -453,6 +467,7 @@
         self._handler = handler
         self._limits = limits
         self._clock = clock
+        self._loop: LoopingCall | None = None
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
         """A connection for the client at `addr`."""
@@ -460,6 +475,20 @@
         connection.factory = self
         return connection
 
+    def start(self) -> None:
+        """Begin to look for clients that take too long."""
+        self._loop = self._clock.repeat(TIME_CHECK_MS, self._check_times)
+
+    def close(self) -> None:
+        """Stop looking."""
+        if self._loop is not None:
+            self._loop.stop()
+
+    def _check_times(self) -> None:
+        now = self._clock.now_ms()
+        for connection in list(self.connections):
+            connection.check_time(now)
+
     def close_idle(self) -> None:
         """Close idle connections now, and the others after their responses."""
         for connection in list(self.connections):
--- a/foxtailproxy/metrics.py
+++ b/foxtailproxy/metrics.py
@@ -50,15 +50,17 @@
         """A call has ended."""
         elapsed_us = max(LOWEST_US, int(elapsed_ms * 1000))
         self._histogram(self.by_class, class_key).record_value(elapsed_us)
+        self.calls_by_outcome[class_key, outcome] += 1
+        if not tenant:
+            return
         if tenant not in self.by_tenant and len(self.by_tenant) >= MAX_TENANTS:
             tenant = OTHER_TENANTS
         self._histogram(self.by_tenant, tenant).record_value(elapsed_us)
-        self.calls_by_outcome[class_key, outcome] += 1
 
     def summaries(self) -> list[HistogramSummary]:
         """All histograms."""
         named = [(f"class {name}", histogram) for name, histogram in self.by_class.items()]
-        named += [(f"tenant {name or '-'}", hist) for name, hist in self.by_tenant.items()]
+        named += [(f"tenant {name}", hist) for name, hist in self.by_tenant.items()]
         return [summarize(name, histogram) for name, histogram in sorted(named)]
 
     @staticmethod
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -152,6 +152,8 @@
         self.peers.start()
         self.peer_server.start()
         self.gossip.start()
+        self._caller_factory.start()
+        self._peer_factory.start()
         self._loops.append(self.clock.repeat(1000, self.claims.runs.sweep))
         self.lifecycle.started()
         ensureDeferred(self._join())  # type: ignore[arg-type]
@@ -242,6 +244,8 @@
         self.peer_server.close()
         self._peer_factory.close_idle()
         await DeferredList([maybeDeferred(port.stopListening) for port in self._ports])
+        self._caller_factory.close()
+        self._peer_factory.close()
         self.peers.close()
         self.target.close()
         await self.platform.close()
@@ -264,16 +268,16 @@
         instance = self.target.announcement.instance if self.target.announcement else ""
         name = f"{self.table.me.node_id}.{instance}"
         for call in suspects or calls:
-            if self.quarantine.harmless(call.fingerprint) and not call.crashed_upstreams:
+            if self.quarantine.harmless(call) and not call.crashed_upstreams:
                 continue
             if self.quarantine.report(call.fingerprint, [name]):
                 log.warning("request_suspect", fingerprint=call.fingerprint, upstream=name)
-                upstreams = self.quarantine.crashed_upstreams(call.fingerprint)
+                upstreams = self.quarantine.crashed_upstreams(call)
                 self.gossip.spread_crash(CrashReport(call.fingerprint, upstreams))
 
     def call_completed(self, call: Call) -> None:
         """The upstream answered a call, which is therefore harmless."""
-        self.quarantine.completed(call.fingerprint)
+        self.quarantine.completed(call)
 
     def crash_reported(self, report: CrashReport) -> bool:
         """Another node tells of a request that crashed upstreams."""
--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -8,7 +8,7 @@
 import msgspec
 from expression import Error
 
-from foxtailproxy.call import Call, fingerprint_of
+from foxtailproxy.call import Call
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import HttpError
@@ -132,7 +132,6 @@
             stream=exchange.body,
             crashed_upstreams=crashed.split(",") if crashed else [],
             attempt_id=attempt_id,
-            fingerprint=fingerprint_of(match.service.name, exchange.head, payload),
         )
         outcome = await self._target.run(call)
         await run.settle(outcome, self._limits.replay_bytes)
--- a/foxtailproxy/quarantine.py
+++ b/foxtailproxy/quarantine.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
 
 SUSPECTS = 1000
@@ -30,7 +31,7 @@
     def __init__(self, clock: Clock) -> None:
         self.by_fingerprint: dict[str, Suspect] = {}
         self._clock = clock
-        self._completed: dict[str, None] = {}
+        self._completed: dict[int, None] = {}
         self._released: dict[str, None] = {}
 
     def report(self, fingerprint: str, upstreams: list[str]) -> bool:
@@ -48,30 +49,29 @@
             suspect.seen_ms = self._clock.now_ms()
         return bool(news)
 
-    def completed(self, fingerprint: str) -> None:
+    def completed(self, call: Call) -> None:
         """A request ran to its end, so it is not what crashes upstreams."""
-        if not fingerprint:
-            return
-        self._completed[fingerprint] = None
+        self._completed[call.local_key] = None
         self._bound(self._completed, COMPLETED)
-        self.by_fingerprint.pop(fingerprint, None)
+        if self.by_fingerprint:
+            self.by_fingerprint.pop(call.fingerprint, None)
 
-    def harmless(self, fingerprint: str) -> bool:
+    def harmless(self, call: Call) -> bool:
         """Whether the request is known to have run to its end here."""
-        return fingerprint in self._completed
+        return call.local_key in self._completed
 
-    def crashed_upstreams(self, fingerprint: str) -> list[str]:
+    def crashed_upstreams(self, call: Call) -> list[str]:
         """The upstreams that died while they ran the request."""
-        suspect = self.by_fingerprint.get(fingerprint)
+        suspect = self.by_fingerprint.get(call.fingerprint) if self.by_fingerprint else None
         return [] if suspect is None else list(suspect.upstreams)
 
-    def blocked(self, fingerprint: str, limit: int, duration_ms: float) -> bool:
+    def blocked(self, call: Call, limit: int, duration_ms: float) -> bool:
         """Whether the request has crashed `limit` upstreams within the last `duration_ms`."""
-        suspect = self.by_fingerprint.get(fingerprint)
+        suspect = self.by_fingerprint.get(call.fingerprint) if self.by_fingerprint else None
         if suspect is None or len(suspect.upstreams) < limit:
             return False
         if self._clock.now_ms() - suspect.seen_ms > duration_ms:
-            del self.by_fingerprint[fingerprint]
+            del self.by_fingerprint[call.fingerprint]
             return False
         return True
 
@@ -84,8 +84,6 @@
         return True
 
     @staticmethod
-    def _bound(
-        entries: dict[str, object] | dict[str, None] | dict[str, Suspect], most: int
-    ) -> None:
+    def _bound(entries: dict[Any, Any], most: int) -> None:
         if len(entries) > most:
             del entries[next(iter(entries))]
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import structlog
-from expression import Error, Ok, Result
+from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from foxtailproxy.admission import Admission, Ticket
@@ -145,19 +145,19 @@
         refusal = self._refusal(call)
         if refusal is not None:
             return Error(refusal)
-        admitted: Deferred[Result[None, NotRun]] = Deferred()
+        admitted: Deferred[NotRun | None] = Deferred()
         ticket = Ticket(
             call,
-            lambda: admitted.callback(Ok(None)),
-            lambda refused: admitted.callback(Error(refused)),
+            lambda: admitted.callback(None),
+            admitted.callback,
         )
         running = RunningCall(call, ticket)
         self._by_attempt[call.attempt_id] = running
         self.admission.enter(ticket)
-        result = await admitted
-        if result.is_error():
+        refused = await admitted
+        if refused is not None:
             del self._by_attempt[call.attempt_id]
-            return Error(result.error)
+            return Error(refused)
         return await self._run_admitted(running)
 
     def cancel(self, attempt_id: str) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -143,6 +143,17 @@
             *("--admin", member.admin, "--seed", str(seed)),
         )
 
+    def start_relay(self, name: str, to_port: int) -> tuple[int, int]:
+        """Start a relay to a port; returns its port and its control port."""
+        port, control = free_ports(2)
+        self._spawn(
+            name,
+            "standins.relay",
+            *("--port", str(port), "--to", f"{ADDRESS}:{to_port}", "--control", str(control)),
+        )
+        self._wait_for(f"http://{ADDRESS}:{control}/counters")
+        return port, control
+
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         with open(self.folder / f"{name}.log", "ab") as log:
             self.by_name[name] = subprocess.Popen(
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,149 @@
+"""Stand-in for what lies between two ends: a relay of bytes that can lose track of connections.
+
+Usage: python -m standins.relay --port 7300 --to 127.0.0.1:7102 --control 7301
+
+| call to the control port | meaning |
+|---|---|
+| `POST /silence` | all connections open now go silent for good; new ones work |
+| `POST /refuse` | new connections are cut at once as well |
+| `POST /heal` | new connections work again |
+| `GET /counters` | connections and bytes so far |
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import click
+import msgspec
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Factory, Protocol
+from twisted.web.server import Site
+
+from foxtailproxy.http.transport import write_now
+
+
+class Side(Protocol):
+    """One of the two connections of a relayed one."""
+
+    transport: Any = None
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay = relay
+        self.silent = False
+        self.other: Side | None = None
+        self.early: list[bytes] = []
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Remember the connection."""
+        self.transport.setTcpNoDelay(True)
+        self.relay.sides.add(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass bytes on, unless the connection is silent."""
+        if self.silent:
+            return
+        self.relay.bytes += len(data)
+        if self.other is None:
+            self.early.append(data)
+        else:
+            write_now(self.other.transport, data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Pass the end on, unless the connection is silent."""
+        self.relay.sides.discard(self)
+        if self.other is not None and not self.silent:
+            self.other.transport.loseConnection()
+
+
+class Relay(Factory):
+    """Accepts connections and relays each to one address."""
+
+    noisy = False
+
+    def __init__(self, address: str, port: int) -> None:
+        self.sides: set[Side] = set()
+        self.connections = 0
+        self.bytes = 0
+        self.refusing = False
+        self._endpoint = TCP4ClientEndpoint(reactor, address, port)
+
+    def buildProtocol(self, addr: Any) -> Side:  # noqa: N802
+        """Accept a connection and open the one it is relayed to."""
+        self.connections += 1
+        near = Side(self)
+        if self.refusing:
+            loop: Any = reactor
+            loop.callLater(0, lambda: near.transport.abortConnection())
+            return near
+        opened = connectProtocol(self._endpoint, Side(self))
+        opened.addCallbacks(
+            lambda far: self._join(near, far), lambda _: near.transport.loseConnection()
+        )
+        return near
+
+    @staticmethod
+    def _join(near: Side, far: Side) -> None:
+        near.other, far.other = far, near
+        for data in near.early:
+            far.transport.write(data)
+
+
+class RelayControl:
+    """The fault switch."""
+
+    app = Klein()
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay = relay
+
+    @app.route("/silence", methods=["POST"])
+    def silence(self, request: Any) -> bytes:
+        """Lose track of all connections open now."""
+        for side in self.relay.sides:
+            side.silent = True
+        return b"{}"
+
+    @app.route("/refuse", methods=["POST"])
+    def refuse(self, request: Any) -> bytes:
+        """Cut new connections too."""
+        self.relay.refusing = True
+        return self.silence(request)
+
+    @app.route("/heal", methods=["POST"])
+    def heal(self, request: Any) -> bytes:
+        """Let new connections work."""
+        self.relay.refusing = False
+        return b"{}"
+
+    @app.route("/counters", methods=["GET"])
+    def counters(self, request: Any) -> bytes:
+        """What passed so far."""
+        return msgspec.json.encode(
+            {"connections": self.relay.connections, "bytes": self.relay.bytes}
+        )
+
+
+@click.command()
+@click.option("--address", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option("--to", required=True, help="Address to relay to, as ip:port.")
+@click.option("--control", type=int, required=True)
+def main(address: str, port: int, to: str, control: int) -> None:
+    """Run the stand-in until it is stopped."""
+    loop: Any = reactor
+    host, _, target_port = to.rpartition(":")
+    relay = Relay(host, int(target_port))
+    site = Site(RelayControl(relay).app.resource())
+    site.noisy = False
+    loop.listenTCP(port, relay, interface=address)
+    loop.listenTCP(control, site, interface=address)
+    print("ready", file=sys.stderr, flush=True)
+    loop.run()
+
+
+if __name__ == "__main__":
+    main()
