Prove leaving, faults and configuration with real processes

Cause: (1) a node that was stopped closed idle connections at once, so a caller's next request met a closed port; (2) a shedding upstream beside a node was chosen first for ever, 6 of 360 look-ups were not run; (3) a dying process accepted the check connection, so its crash was not seen as one and a crashing request took four upstreams; (4) nodes started in 20 s and more, since the paid budget was used up by news sent twice. Change: a leaving node serves its callers for a notice and ends their connections with an answer; refusals by the upstream count against a target's health; the check comes 50 ms after the loss; news crosses regions once and change ids are shorter; the paid budget's default is 500 B/s. Conclusion: kept; a crashing request still takes three upstreams where sends overlap: next.

--- a/foxtailproxy/commands/config.py
+++ b/foxtailproxy/commands/config.py
@@ -21,6 +21,9 @@
 
 READ_BACK_TRIES = 5
 
+CHANGE_ID_LENGTH = 12
+"""Characters of a change id; it travels in every datagram between nodes."""
+
 
 class CheckReport(msgspec.Struct):
     """What a valid configuration declares."""
@@ -94,7 +97,9 @@
     in_force = 0
     if node is not None:
         in_force = (await ask_node("GET", node, "/status", _NodeGeneration)).config_generation
-    change = ConfigObject(max(held, in_force) + 1, new_id(), getpass.getuser(), text)
+    change = ConfigObject(
+        max(held, in_force) + 1, new_id()[:CHANGE_ID_LENGTH], getpass.getuser(), text
+    )
     value = msgspec.json.encode(change).decode()
     if current.version:
         written = await platform.update(CONFIG_NAME, value, current.version)
--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -73,7 +73,9 @@
 REQUEST_REASONS = frozenset((NotRunReason.TOO_DEEP, NotRunReason.BAD_REQUEST))
 """Refusals that the request itself causes, so that it cannot have run before either."""
 
-FAULT_REASONS = frozenset((NotRunReason.TARGET_DOWN, NotRunReason.UNREACHABLE))
+FAULT_REASONS = frozenset(
+    (NotRunReason.TARGET_DOWN, NotRunReason.UNREACHABLE, NotRunReason.UPSTREAM_REFUSED)
+)
 """Refusals that count against a target's health."""
 
 
--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -167,20 +167,26 @@
         self._push_due = False
         crashes, self._crash_news = list(self._crash_news.values()), {}
         members = [self._table.by_id[name] for name in self._news if name in self._table.by_id]
-        for member in self._fanout(self._my_id in self._news):
+        for member in self._fanout():
             self._send_records(member, PacketKind.push, members, crashes)
         self._news = {name: left - 1 for name, left in self._news.items() if left > 1}
         if self._news:
             self._schedule_push()
 
-    def _fanout(self, own_news: bool) -> list[MemberRecord]:
-        """Nodes to pass news to; that of others crosses to a data centre once from each other."""
+    def _fanout(self) -> list[MemberRecord]:
+        """Nodes to pass news to.
+
+        A node's own news goes to each data centre once, that of others about once from each other
+        data centre.
+        """
+        own_news = self._news.get(self._my_id) == PUSH_ROUNDS
+        last_round = max(self._news.values(), default=PUSH_ROUNDS) < PUSH_ROUNDS
         by_data_center: dict[str, list[MemberRecord]] = {}
         for record in self._table.others():
             by_data_center.setdefault(record.data_center, []).append(record)
         near = by_data_center.pop(self._table.me.data_center, [])
         chosen = self._rng.sample(near, min(len(near), NEAR_FANOUT))
-        for records in by_data_center.values():
+        for records in [] if last_round else by_data_center.values():
             if own_news or self._rng.random() < 1 / (len(near) + 1):
                 chosen.append(self._rng.choice(records))
         return chosen
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -468,10 +468,12 @@
         self._limits = limits
         self._clock = clock
         self._loop: LoopingCall | None = None
+        self._closing = False
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
         """A connection for the client at `addr`."""
         connection = ServerConnection(self._handler, self._limits, self._clock)
+        connection.closing = self._closing
         connection.factory = self
         return connection
 
@@ -489,6 +491,12 @@
         for connection in list(self.connections):
             connection.check_time(now)
 
+    def close_after_answers(self) -> None:
+        """Let each connection end with its next response."""
+        self._closing = True
+        for connection in self.connections:
+            connection.closing = True
+
     def close_idle(self) -> None:
         """Close idle connections now, and the others after their responses."""
         for connection in list(self.connections):
--- a/foxtailproxy/models/rules.py
+++ b/foxtailproxy/models/rules.py
@@ -34,7 +34,7 @@
             ge=0,
             le=1000000,
         ),
-    ] = 200
+    ] = 500
     """
     Bytes a second that one node may spend on measuring over the paid link between regions.
     """
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -199,6 +199,17 @@
     """
     Time that a finished answer is kept, in milliseconds.
     """
+    leaving_notice_ms: Annotated[
+        int,
+        Meta(
+            description="Time that a node which is being stopped still takes calls from callers and passes them on, so that they can turn to another node, in milliseconds.",
+            ge=0,
+            le=600000,
+        ),
+    ] = 2000
+    """
+    Time that a node which is being stopped still takes calls from callers and passes them on, so that they can turn to another node, in milliseconds.
+    """
     drain_ms: Annotated[
         int,
         Meta(
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -54,9 +54,6 @@
 
 DRAIN_CHECK_MS = 50
 
-LEAVING_NOTICE_MS = 300
-"""Time that a leaving node gives its callers and peers to hear of it before it closes."""
-
 
 class Node:
     """The daemon beside one upstream."""
@@ -71,6 +68,8 @@
         self._reactor = reactor
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
+        self._caller_port: Any = None
+        self._stopped: list[Any] = []
         self._registered = False
         self._drain_started_ms = 0.0
         rng = random.Random(seed)
@@ -144,10 +143,10 @@
         listen = self._reactor.listenTCP
         self._ports = [
             listen(node.peer_port, self._peer_factory, interface=node.address),
-            listen(node.caller_port, self._caller_factory, interface=node.address),
             listen(node.admin_port, AdminSite(self).site(), interface=node.address),
             self._reactor.listenUDP(node.gossip_port, self.gossip, interface=node.address),
         ]
+        self._caller_port = listen(node.caller_port, self._caller_factory, interface=node.address)
         self.target.start()
         self.peers.start()
         self.peer_server.start()
@@ -208,13 +207,18 @@
         self._drain_started_ms = self.clock.now_ms()
         self.target.leave()
         self._spread_me(state=MemberState.leaving)
-        self._caller_factory.close_idle()
+        self._caller_factory.close_after_answers()
         if self._registered:
             name = MEMBER_PREFIX + self.table.me.node_id
             ensureDeferred(self.platform.delete(name, None))  # type: ignore[arg-type]
-        self.clock.call_later(LEAVING_NOTICE_MS, self._close_when_drained)
+        self.clock.call_later(self.settings.limits.leaving_notice_ms, self._stop_accepting)
         return self.core.closed
 
+    def _stop_accepting(self) -> None:
+        self._stopped = [maybeDeferred(self._caller_port.stopListening)]
+        self._caller_factory.close_idle()
+        self._close_when_drained()
+
     def _close_when_drained(self) -> None:
         waited = self.clock.now_ms() - self._drain_started_ms
         if not self._idle() and waited < self.settings.limits.drain_ms:
@@ -243,7 +247,8 @@
         self.gossip.close()
         self.peer_server.close()
         self._peer_factory.close_idle()
-        await DeferredList([maybeDeferred(port.stopListening) for port in self._ports])
+        self._stopped += [maybeDeferred(port.stopListening) for port in self._ports]
+        await DeferredList(self._stopped)
         self._caller_factory.close()
         self._peer_factory.close()
         self.peers.close()
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -34,6 +34,9 @@
 SWEEP_MS = 20
 """Time between two looks at deadlines, in milliseconds."""
 
+CRASH_CHECK_MS = 50
+"""Time between the loss of a connection and the check whether the upstream died."""
+
 PROBE_MS = 500
 """Time between two tries to reach an upstream that is down, in milliseconds."""
 
@@ -236,6 +239,8 @@
         if isinstance(error, ExchangeCancelled):
             return Unknown(UnknownReason.CANCELLED)
         self._crashed.append(running.call)
+        # A dying process may still accept connections for a moment.
+        await self._clock.sleep(CRASH_CHECK_MS)
         crashed = not await self._reachable()
         if crashed:
             self._mark_down()
--- /dev/null
+++ b/foxtailproxy/tests/environment.py
@@ -0,0 +1,34 @@
+"""Runs the reactor in a thread, for the scenarios with real processes and sockets."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from typing import Any
+
+import structlog
+from twisted.internet import reactor
+
+
+def before_all(context: Any) -> None:
+    """Start the reactor and keep the logs of parts under test quiet."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    loop: Any = reactor
+    run = {"installSignalHandlers": False}
+    context.reactor_thread = threading.Thread(target=loop.run, kwargs=run, daemon=True)
+    context.reactor_thread.start()
+
+
+def after_all(context: Any) -> None:
+    """Stop the reactor."""
+    loop: Any = reactor
+    loop.callFromThread(loop.stop)
+    context.reactor_thread.join(5)
+
+
+def after_scenario(context: Any, scenario: Any) -> None:
+    """End the processes of a scenario."""
+    live = getattr(context, "live", None)
+    if live is not None:
+        live.close()
+        context.live = None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -179,7 +179,11 @@
         path.write_text(text)
         report = self.command("config", "apply", str(path), "--platform", self.platform, "--json")
         generation = json.loads(report.stdout)["generation"]
-        self.wait_until(lambda: self.all_have(generation), f"generation {generation} in force")
+        self.wait_for_generation(generation)
+
+    def wait_for_generation(self, generation: int) -> float:
+        """Wait until a configuration is in force everywhere; returns the seconds waited."""
+        return self.wait_until(lambda: self.all_have(generation), f"generation {generation}")
 
     def all_have(self, generation: int) -> bool:
         """Whether every live node has a configuration at least as new."""
--- a/standins/load.py
+++ b/standins/load.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+from twisted.internet.task import deferLater
 
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import ConnectFailed, HttpError
@@ -19,6 +21,7 @@
 ANSWER_LIMIT_BYTES = 16_777_216
 DEFAULT_ANSWER_BYTES = 100
 NO_ANSWER = "no-answer"
+RESEND_PAUSE_S = 0.3
 
 
 @dataclass(slots=True)
@@ -36,6 +39,8 @@
     answer_bytes: int = DEFAULT_ANSWER_BYTES
     stream_ms: int = 0
     unique_path: bool = True
+    sends: int = 1
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -50,6 +55,8 @@
     ms: float
     at_s: float
     whole: bool
+    told_s: float = 0.0
+    key: str = ""
 
 
 @dataclass(slots=True)
@@ -80,11 +87,14 @@
         self.tally = Tally()
         self.rng = random.Random(seed)
         self._pools = [ConnectionPool(reactor, "127.0.0.1", port) for port in ports]
-        self._pending: list[Deferred[None]] = []
         self._count = 0
         self._loop: Any = reactor
         self._begun_s = self._loop.seconds()
 
+    def avoid(self, port: int) -> None:
+        """Send nothing more to a port."""
+        self._pools = [pool for pool in self._pools if pool.port != port]
+
     def run(self, shapes: list[Shape], duration_s: float) -> Deferred[Any]:
         """Send requests of all shapes for a time; fires when all have ended."""
         arrivals = sorted(self._arrivals(shapes, duration_s), key=lambda pair: pair[0])
@@ -103,26 +113,36 @@
 
     def _schedule(self, at_s: float, shape: Shape) -> Deferred[None]:
         done: Deferred[None] = Deferred()
-        pool = self.rng.choice(self._pools)
 
         def begin() -> None:
-            ensureDeferred(self.send(shape, pool, at_s)).chainDeferred(done)
+            pool = self.rng.choice(self._pools)
+            ensureDeferred(self._send_until_known(shape, pool, at_s)).chainDeferred(done)
 
         now_s = self._loop.seconds() - self._begun_s
         self._loop.callLater(max(0.0, at_s - now_s), begin)
         return done
 
+    async def _send_until_known(self, shape: Shape, pool: ConnectionPool, at_s: float) -> None:
+        """Send a request, and its key again elsewhere while its outcome is not known."""
+        ended = await self.send(shape, pool, at_s)
+        for _ in range(shape.sends - 1):
+            if ended.outcome not in ("unknown", "refused", NO_ANSWER):
+                return
+            await deferLater(self._loop, RESEND_PAUSE_S, lambda: None)
+            pool = self.rng.choice(self._pools)
+            ended = await self.send(shape, pool, at_s, ended.key, tag=ended.tag)
+
     async def send(
         self,
         shape: Shape,
         pool: ConnectionPool,
         due_s: float,
         key: str = "",
-        extra: list[tuple[bytes, bytes]] | None = None,
+        tag: str = "",
     ) -> Ended:
         """Send one request that was due at a time since the start; waiting to be sent counts."""
         self._count += 1
-        tag = f"{shape.name}-{self._count}-{self.rng.getrandbits(32):08x}"
+        tag = tag or f"{shape.name}-{self._count}-{self.rng.getrandbits(32):08x}"
         path = f"{shape.path}/{tag}" if shape.unique_path else shape.path
         headers = [(b"host", shape.host.encode()), (b"x-tag", tag.encode())]
         headers.append((b"x-answer-bytes", b"%d" % shape.answer_bytes))
@@ -134,11 +154,13 @@
             headers.append((b"x-stream-ms", b"%d" % shape.stream_ms))
         if shape.keyed or key:
             headers.append((b"idempotency-key", (key or tag).encode()))
-        headers.extend(extra or [])
+        headers.extend(shape.headers)
         payload = b"" if shape.method == "GET" else tag.encode()
         head = RequestHead(shape.method.encode(), path.encode(), headers)
         ended = await self._exchange(shape, pool, head, payload, tag)
         ended.at_s = due_s
+        ended.told_s = time.time()
+        ended.key = key or tag
         ended.ms = (self._loop.seconds() - self._begun_s - due_s) * 1000
         self.tally.ended.append(ended)
         return ended
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,6 +19,7 @@
 import os
 import random
 import sys
+import time
 import uuid
 from typing import Any
 
@@ -54,6 +55,7 @@
     tag: str
     path: str
     finished: bool
+    at_s: float = 0.0
 
 
 def expected_body(method: bytes, path: bytes, tag: bytes, payload: bytes, size: int) -> bytes:
@@ -101,6 +103,7 @@
             request.getHeader("x-tag") or "",
             request.path.decode(),
             False,
+            time.time(),
         )
         self.ledger.append(entry)
         self.running += 1
