--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -257,6 +257,8 @@
         if book is None:
             return False
         fleet = book.fleet
+        if len(call.crashed_upstreams) >= fleet.crash_limit:
+            return True
         return self._quarantine.blocked(call, fleet.crash_limit, fleet.quarantine_ms)
 
     async def _dispatch(self, call: Call) -> Outcome:
@@ -274,9 +276,7 @@
         for number in range(call.rule.attempts):
             if number and not self._may_retry(call, outcome):
                 break
-            choice = self._router.choose(
-                call.match, tried, len(call.payload or b"") + len(call.head.target)
-            )
+            choice = self._choose(call, tried)
             if choice is None:
                 break
             if number:
@@ -291,11 +291,20 @@
             return Error(uncertain)
         return outcome
 
+    def _choose(self, call: Call, tried: set[str]) -> Choice | None:
+        if call.crashed_upstreams:
+            return self._router.choose_for_suspect(call)
+        size = len(call.payload or b"") + len(call.head.target)
+        return self._router.choose(call.match, tried, size)
+
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         if call.attempt_id in self._cancelled or call.remaining_ms(self.clock) <= 0:
             return False
         if not call.replayable or not retriable(call, outcome) or self._blocked(call):
             return False
+        if call.crashed_upstreams and outcome.is_error() and isinstance(outcome.error, NotRun):
+            # Another such request may have crashed the target; the caller may ask again later.
+            return False
         return self._retries.spend(self.clock.now_ms())
 
     async def _send(self, choice: Choice, call: Call) -> Outcome:
@@ -326,7 +335,9 @@
     def _note_crash(self, call: Call, choice: Choice, failure: Unknown) -> None:
         if not failure.crashed:
             return
-        name = choice.view.member.node_id if isinstance(choice, PeerChoice) else "local"
+        name = (
+            choice.view.member.node_id if isinstance(choice, PeerChoice) else self._router.node_id
+        )
         call.crashed_upstreams = [*call.crashed_upstreams, name]
 
 
--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -77,6 +77,9 @@
     def crash_reported(self, report: CrashReport) -> bool:
         """A request crashed upstreams elsewhere; returns whether that is news."""
 
+    def crash_reports(self) -> list[CrashReport]:
+        """The newest of this node's own reports."""
+
     def config_seen(self, generation: int, change: str, member: MemberRecord) -> None:
         """Another node has a configuration of `generation`."""
 
@@ -126,6 +129,7 @@
         self._news: dict[str, int] = {}
         self._crash_news: dict[str, CrashReport] = {}
         self._push_due = False
+        self._fresh = False
         self._last_heard_ms = 0.0
         self._loops: list[LoopingCall] = []
         self._decoder = msgspec.msgpack.Decoder(GossipPacket)
@@ -147,18 +151,19 @@
     def spread(self, record: MemberRecord) -> None:
         """Pass a record on to a few nodes, soon."""
         self._news[record.node_id] = PUSH_ROUNDS
-        self._schedule_push()
+        self._schedule_push(True)
 
     def spread_crash(self, report: CrashReport) -> None:
         """Pass a crash report on to a few nodes, soon."""
         self._crash_news[report.fingerprint] = report
-        self._schedule_push()
+        self._schedule_push(True)
 
     def spread_config(self) -> None:
         """Tell a few nodes of this node's new configuration, soon."""
-        self._schedule_push()
+        self._schedule_push(True)
 
-    def _schedule_push(self) -> None:
+    def _schedule_push(self, fresh: bool) -> None:
+        self._fresh = self._fresh or fresh
         if not self._push_due:
             self._push_due = True
             self._clock.call_later(PUSH_DELAY_MS, self._push)
@@ -171,7 +176,7 @@
             self._send_records(member, PacketKind.push, members, crashes)
         self._news = {name: left - 1 for name, left in self._news.items() if left > 1}
         if self._news:
-            self._schedule_push()
+            self._schedule_push(False)
 
     def _fanout(self) -> list[MemberRecord]:
         """Nodes to pass news to.
@@ -180,13 +185,13 @@
         data centre.
         """
         own_news = self._news.get(self._my_id) == PUSH_ROUNDS
-        last_round = max(self._news.values(), default=PUSH_ROUNDS) < PUSH_ROUNDS
+        fresh, self._fresh = self._fresh, False
         by_data_center: dict[str, list[MemberRecord]] = {}
         for record in self._table.others():
             by_data_center.setdefault(record.data_center, []).append(record)
         near = by_data_center.pop(self._table.me.data_center, [])
         chosen = self._rng.sample(near, min(len(near), NEAR_FANOUT))
-        for records in [] if last_round else by_data_center.values():
+        for records in by_data_center.values() if fresh else ():
             if own_news or self._rng.random() < 1 / (len(near) + 1):
                 chosen.append(self._rng.choice(records))
         return chosen
@@ -328,6 +333,7 @@
             0,
             members=[self._table.me],
             data_center_hashes=self._table.data_center_hashes(),
+            crashes=self._listener.crash_reports(),
         )
 
     def _compare(self, packet: GossipPacket, address: tuple[str, int]) -> None:
@@ -443,9 +449,7 @@
             replace(packet, config_generation=generation, config_change=change)
         )
         size = len(data) + PACKET_OVERHEAD_BYTES
-        urgent = packet.kind is PacketKind.push
-        allowed = not paid or self.paid_budget.spend(size, urgent)
-        if not allowed or not self.budget.spend(size, urgent):
+        if not self._spend(size, packet, paid):
             self.counters.skipped_packets += 1
             return False
         self.counters.sent_packets += 1
@@ -455,6 +459,16 @@
         self.transport.write(data, address)
         return True
 
+    def _spend(self, size: int, packet: GossipPacket, paid: bool) -> bool:
+        """Whether the budgets allow a packet."""
+        budgets = [self.paid_budget, self.budget] if paid else [self.budget]
+        if packet.kind is PacketKind.push and packet.crashes:
+            # A report that saves upstreams measures nothing; measuring makes room for it.
+            for budget in budgets:
+                budget.charge(size)
+            return True
+        return all(budget.spend(size, packet.kind is PacketKind.push) for budget in budgets)
+
     def _is_paid(self, address: tuple[str, int]) -> bool:
         for record in self._table.by_id.values():
             if (record.address, record.gossip_port) == address:
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -54,6 +54,9 @@
 
 DRAIN_CHECK_MS = 50
 
+CRASH_REPORTS = 8
+"""Crash reports sent along with a comparison."""
+
 
 class Node:
     """The daemon beside one upstream."""
@@ -83,7 +86,14 @@
         self.table = MemberTable(clock, self._own_record(), self._member_changed, self._spread_me)
         self.paid_calls = TokenBucket(clock, fleet.paid_call_bytes_per_s)
         self.target = Target(clock, reactor, self)
-        self.router = Router(clock, self.table.me.region, self.target, self.paid_calls.spend, rng)
+        self.router = Router(
+            clock,
+            self.table.me.node_id,
+            self.table.me.region,
+            self.target,
+            self.paid_calls.spend,
+            rng,
+        )
         self.peers = PeerClient(clock, reactor, limits, self.router.observe)
         self.platform = PlatformClient(reactor, self.settings.platform)
         self.config = ConfigSync(
@@ -288,6 +298,11 @@
         """Another node tells of a request that crashed upstreams."""
         return self.quarantine.report(report.fingerprint, report.upstreams)
 
+    def crash_reports(self) -> list[CrashReport]:
+        """The newest reports, for nodes that missed them."""
+        newest = list(self.quarantine.by_fingerprint.values())[-CRASH_REPORTS:]
+        return [CrashReport(suspect.fingerprint, suspect.upstreams) for suspect in newest]
+
     def config_seen(self, generation: int, change: str, member: MemberRecord) -> None:
         """Another node tells of its configuration."""
         self.config.seen(generation, change, member)
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import Match
     from foxtailproxy.models.messages import MemberRecord
@@ -90,6 +92,11 @@
 """Stands for the local target among the targets already tried."""
 
 
+def rendezvous(key: str, node_id: str) -> bytes:
+    """Rank of a node for a key; the highest is the key's place."""
+    return hashlib.blake2b(f"{key} {node_id}".encode(), digest_size=8).digest()
+
+
 class Router:
     """Chooses among the targets of a service.
 
@@ -99,6 +106,7 @@
     def __init__(
         self,
         clock: Clock,
+        node_id: str,
         region: str,
         target: Target,
         spend_paid_link: Callable[[int], bool],
@@ -107,6 +115,7 @@
         self.by_id: dict[str, TargetView] = {}
         self.local_health = TargetHealth(clock)
         self._clock = clock
+        self.node_id = node_id
         self._region = region
         self._target = target
         self._spend_paid_link = spend_paid_link
@@ -154,6 +163,22 @@
             best.health.begin_trial()
         return PeerChoice(best)
 
+    def choose_for_suspect(self, call: Call) -> Choice | None:
+        """The one target for a request that was running when upstreams died.
+
+        All nodes choose the same one, where it runs alone, so that it cannot crash several at once.
+        """
+        crashed = {name.partition(".")[0] for name in call.crashed_upstreams}
+        by_id: dict[str, Choice] = {
+            view.member.node_id: PeerChoice(view)
+            for view in self._peers(call.service.name, crashed)
+        }
+        if self._target.serves(call.service.name) and self.node_id not in crashed:
+            by_id[self.node_id] = LocalChoice()
+        if not by_id:
+            return None
+        return by_id[max(by_id, key=lambda node_id: rendezvous(call.fingerprint, node_id))]
+
     def health_of(self, choice: Choice) -> TargetHealth:
         """The health of the target that was chosen."""
         return choice.view.health if isinstance(choice, PeerChoice) else self.local_health
--- a/foxtailproxy/tests/wire_fakes.py
+++ b/foxtailproxy/tests/wire_fakes.py
@@ -89,6 +89,10 @@
         """Not of interest here."""
         return False
 
+    def crash_reports(self) -> list[CrashReport]:
+        """None."""
+        return []
+
     def config_seen(self, generation: int, change: str, member: MemberRecord) -> None:
         """Not of interest here."""
 
