--- a/foxtailproxy/config/ini.py
+++ b/foxtailproxy/config/ini.py
@@ -5,6 +5,7 @@
 import configparser
 import re
 from dataclasses import dataclass
+from functools import cache
 from typing import Any, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
@@ -64,8 +65,8 @@
     """Build `model` from one section; `given` holds fields that come from the section's name."""
     problems: list[Problem] = []
     values: dict[str, Any] = dict(given)
-    hints = get_type_hints(model, include_extras=True)
-    fields = {field.name: field for field in msgspec.structs.fields(model)}
+    hints = _hints(model)
+    fields = _fields(model)
     for key in raw:
         if key not in fields or key in given:
             known = ", ".join(sorted(set(fields) - set(given)))
@@ -87,6 +88,16 @@
         return Error([Problem(section, "", "", plain_reason(error))])
 
 
+@cache
+def _hints(model: type[msgspec.Struct]) -> dict[str, Any]:
+    return get_type_hints(model, include_extras=True)
+
+
+@cache
+def _fields(model: type[msgspec.Struct]) -> dict[str, Any]:
+    return {field.name: field for field in msgspec.structs.fields(model)}
+
+
 def _convert(hint: Any, section: str, key: str, text: str) -> Result[Any, Problem]:
     base = hint
     while get_origin(base) is not None and get_origin(base) is not list:
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -119,7 +119,8 @@
         else:
             self._chunked = True
             framing.append((b"transfer-encoding", b"chunked"))
-        if self._connection.closing:
+        if self._connection.closing or not self.body.ended:
+            # What is left of the request could not be told from the next one.
             self.keep_alive = False
         if not self.keep_alive:
             framing.append((b"connection", b"close"))
@@ -302,6 +303,8 @@
             messages.get_text(head.headers, b"expect").lower() == "100-continue"
         )
         exchange.body.length = length
+        if length == 0:
+            exchange.body.end()
         self._receiving = exchange
         self._in_head = False
         self._stop_timer()
@@ -324,7 +327,7 @@
     def on_message_complete(self) -> None:
         """The request is whole."""
         exchange, self._receiving = self._receiving, None
-        if exchange is not None:
+        if exchange is not None and not exchange.body.ended:
             exchange.body.end()
 
     # Requests
--- a/foxtailproxy/tests/fakes.py
+++ b/foxtailproxy/tests/fakes.py
@@ -62,7 +62,7 @@
     service = {"name": "kalender", "hosts": ["kalender"]} | fields.pop("service", {})
     path = fields.pop("path", "/days")
     return Call(
-        head=RequestHead(b"GET", path.encode(), []),
+        head=RequestHead(b"GET", path.encode(), [(b"host", b"kalender")]),
         service=ServiceRule(**service),
         rule=ClassRule(**rule),
         tenant=fields.pop("tenant", ""),
--- /dev/null
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -0,0 +1,180 @@
+"""Steps for calls between two nodes over a relay that fails."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet import reactor, threads
+from twisted.internet.defer import ensureDeferred
+
+from foxtailproxy.call import Call
+from foxtailproxy.clock import Clock
+from foxtailproxy.config.rules import RuleBook
+from foxtailproxy.http.server import ServerFactory, ServerLimits
+from foxtailproxy.load import Load
+from foxtailproxy.models.rules import ClassRule, FleetRule, Rules, ServiceRule
+from foxtailproxy.outcome import NotRun, Outcome
+from foxtailproxy.peer_client import PeerClient
+from foxtailproxy.peer_server import PeerServer
+from foxtailproxy.runs import RunTable
+from foxtailproxy.tests.fakes import LIMITS, make_answer, make_call, make_member
+from standins.relay import Relay
+
+BOUNDS = ServerLimits(32768, 65536, 10_000, 60_000)
+FAULT_AFTER_MS = 100
+
+
+class FakeTarget:
+    """A target whose calls take a while."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.runs: list[str] = []
+        self.run_ms = 50.0
+
+    async def run(self, call: Call) -> Outcome:
+        """Run a call."""
+        self.runs.append(call.attempt_id)
+        await self.clock.sleep(self.run_ms)
+        return make_answer(call.attempt_id.encode())
+
+    def load(self) -> Load:
+        """Some load."""
+        return Load(len(self.runs), 0, 2, 1.0)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Nothing to stop."""
+
+
+class FixedConfig:
+    """A configuration that does not change."""
+
+    def __init__(self) -> None:
+        rule = ClassRule("kalender", "booking")
+        self.in_force = None
+        self.book = RuleBook(Rules(FleetRule(), [ServiceRule("kalender", ["kalender"])], [rule]))
+
+
+class TwoNodes:
+    """The sender's side, the relay, and the target's side."""
+
+    def __init__(self) -> None:
+        loop: Any = reactor
+        self.clock = Clock(loop)
+        self.target = FakeTarget(self.clock)
+        target: Any = self.target
+        config: Any = FixedConfig()
+        claims = RunTable(self.clock, 1000, 1000)
+        self.server = PeerServer(self.clock, LIMITS, target, config, claims)
+        self.client = PeerClient(self.clock, loop, LIMITS, lambda node_id, load: None)
+        factory = ServerFactory(self.server.handle, BOUNDS, self.clock)
+        listening = loop.listenTCP(0, factory, interface="127.0.0.1")
+        self.relay = Relay("127.0.0.1", listening.getHost().port)
+        relaying = loop.listenTCP(0, self.relay, interface="127.0.0.1")
+        self.ports = [listening, relaying]
+        self.member = make_member("b", address="127.0.0.1", peer_port=relaying.getHost().port)
+        self.server.start()
+        self.client.start()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        threads.blockingCallFromThread(reactor, self._close)
+
+    def _close(self) -> None:
+        for port in self.ports:
+            port.stopListening()
+        self.server.close()
+        self.client.close()
+        for side in list(self.relay.sides):
+            side.transport.abortConnection()
+
+    def silence(self) -> None:
+        """Lose track of the connections open now."""
+        for side in self.relay.sides:
+            side.silent = True
+
+    def cut(self) -> None:
+        """Cut the connections open now."""
+        for side in list(self.relay.sides):
+            side.transport.abortConnection()
+
+    def isolate(self) -> None:
+        """Let nothing through any more."""
+        self.silence()
+        self.relay.refusing = True
+
+
+@given("two nodes with a relay between them")
+def step_two_nodes(context: Any) -> None:
+    context.live = threads.blockingCallFromThread(reactor, TwoNodes)
+
+
+def _new_call(nodes: TwoNodes) -> Call:
+    return make_call(nodes.clock, rule={"name": "booking", "idempotent": False})
+
+
+def _send(context: Any, call: Call) -> None:
+    nodes = context.live
+    begun_s = time.monotonic()
+    context.outcome = threads.blockingCallFromThread(
+        reactor, lambda: ensureDeferred(nodes.client.run(call, nodes.member))
+    )
+    context.elapsed_ms = (time.monotonic() - begun_s) * 1000
+
+
+@when("a call that runs for {run_ms:d} ms is sent and {what}")
+def step_send(context: Any, run_ms: int, what: str) -> None:
+    nodes = context.live
+    idle = "idle connection" in what
+    if idle:
+        _send(context, _new_call(nodes))
+        nodes.target.runs.clear()
+        nodes.silence()
+    nodes.target.run_ms = run_ms
+    faults = {"silent": nodes.silence, "is cut": nodes.cut, "cannot be reached": nodes.isolate}
+    for words, fault in faults.items():
+        if words in what and not idle:
+            loop: Any = reactor
+            loop.callFromThread(loop.callLater, FAULT_AFTER_MS / 1000, fault)
+    _send(context, _new_call(nodes))
+
+
+@when("the sender asks about a call, and the call arrives after that")
+def step_late(context: Any) -> None:
+    nodes = context.live
+    call = _new_call(nodes)
+    threads.blockingCallFromThread(
+        reactor, lambda: ensureDeferred(nodes.client._recover(call, nodes.member))
+    )
+    _send(context, call)
+
+
+@when("{count:d} calls are sent one after another")
+def step_several(context: Any, count: int) -> None:
+    for _ in range(count):
+        _send(context, _new_call(context.live))
+
+
+@then("the call ends as {expected} within {within:d} ms")
+def step_ends(context: Any, expected: str, within: int) -> None:
+    outcome = context.outcome
+    if outcome.is_ok():
+        seen = "answered"
+        assert outcome.ok.body.held().decode() == context.live.target.runs[0]
+    else:
+        kind = "not-run" if isinstance(outcome.error, NotRun) else "unknown"
+        seen = f"{kind} {outcome.error.reason}"
+    assert seen == expected, seen
+    assert context.elapsed_ms <= within, context.elapsed_ms
+
+
+@then("the call ran {runs:d} times")
+def step_runs(context: Any, runs: int) -> None:
+    assert len(context.live.target.runs) == runs, context.live.target.runs
+
+
+@then("the relay saw {count:d} connections")
+def step_connections(context: Any, count: int) -> None:
+    assert context.live.relay.connections == count
--- a/standins/load.py
+++ b/standins/load.py
@@ -122,6 +122,11 @@
         self._loop.callLater(max(0.0, at_s - now_s), begin)
         return done
 
+    async def send_now(self, shape: Shape) -> Ended:
+        """Send one request that is due now."""
+        self._begun_s = self._loop.seconds()
+        return await self.send(shape, self._pools[0], 0.0)
+
     async def _send_until_known(self, shape: Shape, pool: ConnectionPool, at_s: float) -> None:
         """Send a request, and its key again elsewhere while its outcome is not known."""
         ended = await self.send(shape, pool, at_s)
