--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,31 @@
+"""Builds the one file that ships: dist/foxtailproxy.
+
+The file unpacks itself once, into a folder in memory that `SHIV_ROOT` may change, and runs in the
+same process; it needs a Python interpreter and no network.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+OUTPUT = Path("dist") / "foxtailproxy"
+UNPACK_FOLDER = "/dev/shm/foxtailproxy"
+
+
+def main() -> None:
+    """Build the file and check that it starts."""
+    OUTPUT.parent.mkdir(exist_ok=True)
+    command = [str(Path(sys.executable).parent / "shiv"), "--compressed", "--reproducible"]
+    command += ["--console-script", "foxtailproxy", "--python", "/usr/bin/env python3"]
+    command += ["--root", UNPACK_FOLDER, "--output-file", str(OUTPUT)]
+    subprocess.run([*command, "--quiet", "--constraint", "requirements.txt", "."], check=True)
+    version = subprocess.run(
+        [sys.executable, str(OUTPUT), "version"], check=True, capture_output=True, text=True
+    ).stdout.strip()
+    print(f"{OUTPUT}: {OUTPUT.stat().st_size // 1024} KB, version {version}")
+
+
+if __name__ == "__main__":
+    main()
