--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -69,7 +69,7 @@
         self._on_load = on_load
         self._pool_by_address: dict[tuple[str, int], ConnectionPool] = {}
         self._by_attempt: dict[str, ClientConnection] = {}
-        self._in_use: dict[ClientConnection, None] = {}
+        self._longest_silence: dict[ClientConnection, float] = {}
         self._loop: LoopingCall | None = None
 
     def start(self) -> None:
@@ -130,13 +130,8 @@
         head = RequestHead(b"GET", CONFIG_PATH, [(b"host", b"node")])
         try:
             connection = await self._pool(member.address, member.peer_port).acquire()
-            self._heard(connection)
-            self._in_use[connection] = None
-            try:
-                response = await connection.request(head, BodyStream.of(b""))
-                whole = await response.body.buffer(CONFIG_LIMIT_BYTES)
-            finally:
-                self._in_use.pop(connection, None)
+            response = await self._request(connection, head, BodyStream.of(b""))
+            whole = await response.body.buffer(CONFIG_LIMIT_BYTES)
         except HttpError:
             return None
         if response.head.status != OK_STATUS or not whole:
@@ -175,14 +170,30 @@
     ) -> Outcome:
         connection.on_heard = self._heard
         connection.on_interim = lambda headers: self._observe(peer, headers)
+        response = await self._request(connection, head, body)
+        self._observe(peer, response.head.headers)
+        return await self._read(response)
+
+    async def _request(
+        self, connection: ClientConnection, head: RequestHead, body: BodyStream
+    ) -> ClientResponse:
+        """Send a request and watch for silence: before the answer's head, then inside its body."""
         self._heard(connection)
-        self._in_use[connection] = None
+        self._longest_silence[connection] = self._limits.silence_ms
         try:
             response = await connection.request(head, body)
-            self._observe(peer, response.head.headers)
-            return await self._read(response)
-        finally:
-            self._in_use.pop(connection, None)
+        except HttpError:
+            del self._longest_silence[connection]
+            raise
+        if response.body.ended:
+            del self._longest_silence[connection]
+        else:
+            self._longest_silence[connection] = self._limits.idle_time_ms
+            response.body.on_done = lambda: self._end_watch(connection)
+        return response
+
+    def _end_watch(self, connection: ClientConnection) -> None:
+        self._longest_silence.pop(connection, None)
 
     async def _read(self, response: ClientResponse) -> Outcome:
         failure = parse_failure(response.head.headers)
@@ -202,9 +213,9 @@
         connection.last_heard_ms = self._clock.now_ms()
 
     def _find_silent(self) -> None:
-        oldest = self._clock.now_ms() - self._limits.silence_ms
-        for connection in list(self._in_use):
-            if connection.last_heard_ms < oldest:
+        now = self._clock.now_ms()
+        for connection, longest_ms in list(self._longest_silence.items()):
+            if now - connection.last_heard_ms > longest_ms:
                 connection.fail(ConnectionSilent())
 
     def _pool(self, address: str, port: int) -> ConnectionPool:
