Generate the models the same in any folder

Cause: the generator formats with the settings of the folder it writes to, and its trailing commas stayed. Change: the last formatting drops them.

--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -40,8 +40,7 @@
     service: Annotated[
         str,
         Meta(
-            description="Service of the node's own target; empty when it has none.",
-            max_length=63,
+            description="Service of the node's own target; empty when it has none.", max_length=63
         ),
     ] = ""
     """
--- a/foxtailproxy/models/rules.py
+++ b/foxtailproxy/models/rules.py
@@ -179,8 +179,7 @@
     Most targets that one request is sent to.
     """
     weight: Annotated[
-        int,
-        Meta(description="Share of a busy target relative to the other classes.", ge=1, le=100),
+        int, Meta(description="Share of a busy target relative to the other classes.", ge=1, le=100)
     ] = 1
     """
     Share of a busy target relative to the other classes.
@@ -192,8 +191,7 @@
     Importance; the lowest is shed first.
     """
     deadline_ms: Annotated[
-        int,
-        Meta(description="Longest time for the whole call, in milliseconds.", ge=1, le=3600000),
+        int, Meta(description="Longest time for the whole call, in milliseconds.", ge=1, le=3600000)
     ] = 5000
     """
     Longest time for the whole call, in milliseconds.
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -191,9 +191,7 @@
     kept_answer_ms: Annotated[
         int,
         Meta(
-            description="Time that a finished answer is kept, in milliseconds.",
-            ge=100,
-            le=3600000,
+            description="Time that a finished answer is kept, in milliseconds.", ge=100, le=3600000
         ),
     ] = 60000
     """
--- a/tools/generate_models.sh
+++ b/tools/generate_models.sh
@@ -19,4 +19,4 @@
   done
   sed -i -e "1i \"\"\"Models generated from \`schema/$name.schema.json\`.\"\"\"" "$out/$name.py"
 done
-black -q --config pyproject.toml "$out"
+black -q --config pyproject.toml --skip-magic-trailing-comma "$out"
