--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -41,7 +41,7 @@
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import Match
     from foxtailproxy.config_sync import ConfigSync
-    from foxtailproxy.http.server import ServerExchange
+    from foxtailproxy.http.exchange import ServerExchange
     from foxtailproxy.metrics import Metrics
     from foxtailproxy.models.settings import LimitsSection
     from foxtailproxy.peer_client import PeerClient
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -14,8 +14,8 @@
 from zope.interface import implementer
 
 from foxtailproxy.http import messages
-from foxtailproxy.http.body import BodyStream, DiscardSink
-from foxtailproxy.http.errors import BodyTooLarge, ConnectionCut, HttpError
+from foxtailproxy.http.errors import BodyTooLarge, ConnectionCut
+from foxtailproxy.http.exchange import ServerExchange
 from foxtailproxy.http.transport import write_now
 
 if TYPE_CHECKING:
@@ -33,8 +33,6 @@
 TIME_CHECK_MS = 100
 """Time between two looks for clients that take too long, in milliseconds."""
 
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
 
 @dataclass(slots=True)
 class ServerLimits:
@@ -55,130 +53,6 @@
         self.reason = reason
 
 
-class ServerExchange:
-    """One request and the response to it."""
-
-    def __init__(self, connection: ServerConnection, head: messages.RequestHead) -> None:
-        self.head = head
-        self.body = BodyStream(None, connection)
-        self.keep_alive = True
-        self.expects_continue = False
-        self.started = False
-        self.finished = False
-        self.lost = False
-        self.on_lost: Callable[[], None] | None = None
-        self._connection = connection
-        self._chunked = False
-        self._has_body = True
-        self._sending: BodyStream | None = None
-        self._remaining: int | None = None
-
-    def accept_body(self) -> None:
-        """Tell a client that waits for it to send its body."""
-        if self.expects_continue and not self.started and not self.body.ended:
-            self.expects_continue = False
-            self._connection.write(CONTINUE)
-
-    def interim(self, status: int, headers: messages.HeaderList) -> None:
-        """Send an interim response; does nothing once the final one has begun."""
-        if self.started or self.lost or self.head.http_version == "1.0":
-            return
-        head = messages.ResponseHead(status, messages.reason_of(status), headers)
-        self._connection.write(messages.format_response(head, []))
-
-    def respond(self, head: messages.ResponseHead, body: BodyStream) -> None:
-        """Send the final response and its body."""
-        if self.started or self.lost:
-            body.attach(DiscardSink())
-            return
-        self.started = True
-        self._sending = body
-        framing = self._frame(head, body)
-        wire_head = messages.format_response(head, framing)
-        if body.ended and self._has_body and body.size == body.length:
-            # One write, so that the client reads head and body at once.
-            self._connection.write(wire_head + body.held())
-            self._finish()
-            return
-        self._connection.write(wire_head)
-        body.attach(self)
-
-    def _frame(self, head: messages.ResponseHead, body: BodyStream) -> messages.HeaderList:
-        framing: messages.HeaderList = []
-        self._has_body = (
-            self.head.method != b"HEAD" and head.status not in messages.BODILESS_STATUSES
-        )
-        if not self._has_body:
-            if body.length is not None and head.status != 204 and body.length:
-                framing.append((b"content-length", b"%d" % body.length))
-        elif body.length is not None:
-            self._remaining = body.length
-            framing.append((b"content-length", b"%d" % body.length))
-        elif self.head.http_version == "1.0":
-            self.keep_alive = False
-        else:
-            self._chunked = True
-            framing.append((b"transfer-encoding", b"chunked"))
-        if self._connection.closing or not self.body.ended:
-            # What is left of the request could not be told from the next one.
-            self.keep_alive = False
-        if not self.keep_alive:
-            framing.append((b"connection", b"close"))
-        elif self.head.http_version == "1.0":
-            framing.append((b"connection", b"keep-alive"))
-        return framing
-
-    def body_data(self, data: bytes) -> None:
-        """Send the next bytes of the response's body."""
-        if self.lost or not self._has_body or not data:
-            return
-        if self._remaining is not None:
-            self._remaining -= len(data)
-        self._connection.write(messages.format_chunk(data) if self._chunked else data)
-
-    def body_end(self) -> None:
-        """Finish the response."""
-        if self.lost or self.finished:
-            return
-        if self._has_body and self._remaining:
-            self.abort()
-            return
-        if self._chunked:
-            self._connection.write(messages.LAST_CHUNK)
-        self._finish()
-
-    def _finish(self) -> None:
-        self.finished = True
-        self._connection.exchange_finished(self)
-
-    def body_failed(self, error: HttpError) -> None:
-        """Cut the connection, so that the client can see that the response is not whole."""
-        self.abort()
-
-    def abort(self) -> None:
-        """Cut the connection."""
-        self._connection.abort()
-
-    def pause_response(self) -> None:
-        """The client reads slowly: pause the body that is being sent."""
-        if self._sending is not None:
-            self._sending.pause()
-
-    def resume_response(self) -> None:
-        """The client reads again."""
-        if self._sending is not None:
-            self._sending.resume()
-
-    def connection_lost(self) -> None:
-        """The client has gone."""
-        self.lost = True
-        self.body.fail(ConnectionCut())
-        if self._sending is not None:
-            self._sending.resume()
-        if self.on_lost is not None and not self.finished:
-            self.on_lost()
-
-
 @implementer(IPushProducer)
 class ServerConnection(Protocol):
     """One client's connection; its requests are served one at a time, in order."""
--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -33,7 +33,7 @@
 
     from foxtailproxy.clock import Clock
     from foxtailproxy.config_sync import ConfigSync
-    from foxtailproxy.http.server import ServerExchange
+    from foxtailproxy.http.exchange import ServerExchange
     from foxtailproxy.models.settings import LimitsSection
     from foxtailproxy.target import Target
 
--- a/foxtailproxy/tests/http_sessions.py
+++ b/foxtailproxy/tests/http_sessions.py
@@ -9,8 +9,9 @@
 
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import BodyCut, HttpError
+from foxtailproxy.http.exchange import ServerExchange
 from foxtailproxy.http.messages import ResponseHead, end_to_end
-from foxtailproxy.http.server import ServerExchange, ServerFactory, ServerLimits
+from foxtailproxy.http.server import ServerFactory, ServerLimits
 from foxtailproxy.tests.fakes import advance, fake_clock
 
 LIMITS = ServerLimits(header_bytes=500, body_bytes=64, header_time_ms=1000, idle_time_ms=5000)
