--- a/foxtailproxy/models/rules.py
+++ b/foxtailproxy/models/rules.py
@@ -119,6 +119,17 @@
     """
     Share of a target's slots that long work may hold, as a percentage.
     """
+    overflow_after_ms: Annotated[
+        int,
+        Meta(
+            description="Expected wait in the own region from which calls may go to another region, in milliseconds.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 100
+    """
+    Expected wait in the own region from which calls may go to another region, in milliseconds.
+    """
     local_margin_ms: Annotated[
         int,
         Meta(
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -41,7 +41,8 @@
 OK_STATUS = 200
 
 RECOVERY_TRIES = 3
-"""New connections tried to ask about a call whose connection was lost."""
+"""New connections tried to ask about a call whose connection was lost; one where the call may as
+well run elsewhere."""
 
 RECOVERY_PAUSE_MS = 100
 """Time between two of these tries, in milliseconds."""
@@ -145,7 +146,7 @@
     async def _recover(self, call: Call, member: MemberRecord) -> Outcome:
         """Ask on new connections what became of a call; the node seals one it has not seen."""
         path = ATTEMPT_PATH + call.attempt_id.encode()
-        for _ in range(RECOVERY_TRIES):
+        for _ in range(1 if call.rule.idempotent else RECOVERY_TRIES):
             if call.remaining_ms(self._clock) <= 0:
                 break
             try:
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -156,12 +156,12 @@
         """The target for a call of `size` bytes that the targets in `tried` did not run."""
         service = match.service.name
         local = LOCAL_ID not in tried and self._target.serves(service)
-        peers = self._peers(service, tried)
+        peers = self._peers(service, tried, match.rule.idempotent)
         near = [view for view in peers if view.member.region == self._region]
         best = self._better_of_two(near)
-        if local and self._keep_local(best, match.service.local_margin_ms):
+        if local and self._keep_local(best, match.service.local_margin_ms, match.rule.idempotent):
             return self._local_choice()
-        if best is None or best.wait_ms() > match.rule.hold_ms:
+        if best is None or best.wait_ms() > match.service.overflow_after_ms:
             far = [view for view in peers if view.member.region != self._region]
             overflow = self._better_of_two(far)
             if overflow is not None and self._overflows(best, overflow, size):
@@ -180,7 +180,7 @@
         crashed = {name.partition(".")[0] for name in call.crashed_upstreams}
         by_id: dict[str, Choice] = {
             view.member.node_id: PeerChoice(view)
-            for view in self._peers(call.service.name, crashed)
+            for view in self._peers(call.service.name, crashed, call.rule.idempotent)
         }
         if self._target.serves(call.service.name) and self.node_id not in crashed:
             by_id[self.node_id] = LocalChoice()
@@ -204,7 +204,8 @@
             self.local_health.begin_trial()
         return LocalChoice()
 
-    def _peers(self, service: str, tried: set[str]) -> list[TargetView]:
+    def _peers(self, service: str, tried: set[str], may_try: bool) -> list[TargetView]:
+        """The targets to choose from; where `may_try`, an ejected one may get a trial call."""
         views = [
             self.by_id[node_id]
             for node_id in self._ids_by_service.get(service, ())
@@ -213,7 +214,7 @@
         alive = [view for view in views if view.member.state is MemberState.alive]
         if not alive:
             alive = [view for view in views if view.member.state is MemberState.suspect]
-        trials = [view for view in alive if view.health.trial_due]
+        trials = [view for view in alive if may_try and view.health.trial_due]
         if trials:
             return trials[:1]
         healthy = [view for view in alive if not view.health.ejected]
@@ -225,10 +226,10 @@
         first, second = self._rng.sample(views, 2)
         return min(first, second, key=lambda view: (view.time_ms(), view.occupancy()))
 
-    def _keep_local(self, best: TargetView | None, margin_ms: int) -> bool:
+    def _keep_local(self, best: TargetView | None, margin_ms: int, may_try: bool) -> bool:
         if best is None:
             return True
-        if self.local_health.ejected and not self.local_health.trial_due:
+        if self.local_health.ejected and not (may_try and self.local_health.trial_due):
             return best.health.ejected
         load = self._target.load()
         local_ms = load.wait_ms() + load.typical_ms
