Report expected waits by class, and let sent calls decide between equal targets

Cause: a load report told one wait for all classes, in which stragglers and calls held back by the long bound weighed as much as short ones, so look-ups left targets that had room for them; two targets whose expected times differed by less than a microsecond always gave the same winner. Change: a report carries the expected wait of each class that has calls waiting; times are compared to 0.1 ms, then by the calls sent since.

--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -119,7 +119,22 @@
             # What was slow a while ago is worth another try.
             idle_ms = self._clock.now_ms() - self._last_left_ms
             typical_ms *= 0.5 ** (idle_ms / TYPICAL_HALF_LIFE_MS)
-        return Load(len(self._running), self._queued, self.slots, self._service_ms, typical_ms)
+        return Load(
+            len(self._running),
+            self._queued,
+            self.slots,
+            self._service_ms,
+            typical_ms,
+            self._waits() if self._queued else {},
+        )
+
+    def _waits(self) -> dict[str, float]:
+        """Expected wait in ms of each class that has calls waiting, by its name."""
+        return {
+            key.rpartition("/")[2]: self._expected_wait_ms(queue)
+            for key, queue in self._by_class.items()
+            if queue.size
+        }
 
     @property
     def idle(self) -> bool:
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -56,22 +56,22 @@
         """A call sent to the target has ended."""
         self.outstanding -= 1
 
-    def wait_ms(self) -> float:
-        """Expected wait at the target in ms, from an aged report and the calls sent since."""
+    def wait_ms(self, class_name: str) -> float:
+        """Expected wait of a class in ms, from an aged report and the calls sent since."""
         if self._load is None:
             slots = max(1, self.member.slots)
             return max(0, self.outstanding + 1 - slots) / slots
         age = self._clock.now_ms() - self._reported_ms
         freshness = 0.5 ** (age / LOAD_HALF_LIFE_MS)
-        return self._load.wait_ms(self._sent_since) * freshness
+        return self._load.wait_ms(class_name, self._sent_since) * freshness
 
-    def time_ms(self) -> float:
+    def time_ms(self, class_name: str) -> float:
         """Expected wait and run time at the target in ms."""
         if self._load is None:
-            return self.wait_ms()
+            return self.wait_ms(class_name)
         age = self._clock.now_ms() - self._reported_ms
         typical_ms = self._load.typical_ms * 0.5 ** (age / TYPICAL_HALF_LIFE_MS)
-        return self.wait_ms() + typical_ms
+        return self.wait_ms(class_name) + typical_ms
 
     def occupancy(self) -> float:
         """Expected calls for each slot, from an aged report and the calls sent since."""
@@ -158,13 +158,13 @@
         local = LOCAL_ID not in tried and self._target.serves(service)
         peers = self._peers(service, tried, match.rule.idempotent)
         near = [view for view in peers if view.member.region == self._region]
-        best = self._better_of_two(near)
-        if local and self._keep_local(best, match.service.local_margin_ms, match.rule.idempotent):
+        best = self._better_of_two(near, match)
+        if local and self._keep_local(best, match):
             return self._local_choice()
-        if best is None or best.wait_ms() > match.service.overflow_after_ms:
+        if best is None or best.wait_ms(match.rule.name) > match.service.overflow_after_ms:
             far = [view for view in peers if view.member.region != self._region]
-            overflow = self._better_of_two(far)
-            if overflow is not None and self._overflows(best, overflow, size):
+            overflow = self._better_of_two(far, match)
+            if overflow is not None and self._overflows(best, overflow, match, size):
                 best = overflow
         if best is None:
             return self._local_choice() if local else None
@@ -220,22 +220,28 @@
         healthy = [view for view in alive if not view.health.ejected]
         return healthy or alive
 
-    def _better_of_two(self, views: list[TargetView]) -> TargetView | None:
+    def _better_of_two(self, views: list[TargetView], match: Match) -> TargetView | None:
         if len(views) <= 1:
             return views[0] if views else None
         first, second = self._rng.sample(views, 2)
-        return min(first, second, key=lambda view: (view.time_ms(), view.occupancy()))
+        name = match.rule.name
+        # Where the times hardly differ, the calls sent since the reports decide.
+        return min(first, second, key=lambda view: (round(view.time_ms(name), 1), view.occupancy()))
 
-    def _keep_local(self, best: TargetView | None, margin_ms: int, may_try: bool) -> bool:
+    def _keep_local(self, best: TargetView | None, match: Match) -> bool:
         if best is None:
             return True
-        if self.local_health.ejected and not (may_try and self.local_health.trial_due):
+        if self.local_health.ejected and not (
+            match.rule.idempotent and self.local_health.trial_due
+        ):
             return best.health.ejected
         load = self._target.load()
-        local_ms = load.wait_ms() + load.typical_ms
-        return local_ms <= best.time_ms() + LOCAL_DATA_CENTER_MS + margin_ms
+        local_ms = load.wait_ms(match.rule.name) + load.typical_ms
+        margin_ms = LOCAL_DATA_CENTER_MS + match.service.local_margin_ms
+        return local_ms <= best.time_ms(match.rule.name) + margin_ms
 
-    def _overflows(self, near: TargetView | None, far: TargetView, size: int) -> bool:
-        if near is not None and near.time_ms() <= far.time_ms() + OTHER_REGION_MS:
+    def _overflows(self, near: TargetView | None, far: TargetView, match: Match, size: int) -> bool:
+        name = match.rule.name
+        if near is not None and near.time_ms(name) <= far.time_ms(name) + OTHER_REGION_MS:
             return False
         return self._spend_paid_link(size)
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -24,7 +24,9 @@
     if text == "-":
         return None
     running, queued, typical_ms = text.split("/")
-    return Load(int(running), int(queued), SLOTS, float(typical_ms), float(typical_ms))
+    typical = float(typical_ms)
+    waits = {"lookup": int(queued) * typical / SLOTS} if int(queued) else {}
+    return Load(int(running), int(queued), SLOTS, typical, typical, waits)
 
 
 class OwnTarget:
