Forget runs without looking through all of them

Ruled out: shorter memory (a sender may ask until its deadline). Change: kept answers and tombstones stand in the order in which they end; only those that are due are touched.

--- a/foxtailproxy/runs.py
+++ b/foxtailproxy/runs.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from automat import TypeMachineBuilder
@@ -52,13 +54,15 @@
         self.head: ResponseHead | None = None
         self.payload = b""
         self.failure: NotRun | Unknown | None = None
-        self.ended_ms = 0.0
+        self.on_end: Callable[[], None] | None = None
 
-    def give(self, outcome: Callable[[], Outcome]) -> None:
-        """Give the outcome to all that wait."""
+    def end(self, outcome: Callable[[], Outcome]) -> None:
+        """The outcome is known: give it to all that wait."""
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
             waiter(outcome())
+        if self.on_end is not None:
+            self.on_end()
 
     def kept_answer(self) -> Outcome:
         """A fresh copy of the kept answer."""
@@ -86,7 +90,7 @@
 def _keep_answer(inputs: RunInputs, core: RunCore, head: ResponseHead, payload: bytes) -> None:
     core.head = head
     core.payload = payload
-    core.give(core.kept_answer)
+    core.end(core.kept_answer)
 
 
 @_open.upon(RunInputs.stream).to(_failed)
@@ -96,13 +100,13 @@
         core.waiters.pop(0)(Ok(answer))
     else:
         answer.body.attach(DiscardSink())
-    core.give(core.kept_failure)
+    core.end(core.kept_failure)
 
 
 @_open.upon(RunInputs.fail).to(_failed)
 def _keep_failure(inputs: RunInputs, core: RunCore, failure: NotRun | Unknown) -> None:
     core.failure = failure
-    core.give(core.kept_failure)
+    core.end(core.kept_failure)
 
 
 @_answered.upon(RunInputs.wait).loop()
@@ -171,6 +175,14 @@
             self._machine.stream(answer)
 
 
+@dataclass(frozen=True, slots=True)
+class Tombstone:
+    """A run that has ended and is to be forgotten at a moment of the node's clock."""
+
+    until_ms: float
+    run_id: str
+
+
 class RunTable:
     """Runs by their identifier, with a bound on the answers kept.
 
@@ -182,11 +194,15 @@
         self._clock = clock
         self._kept_bytes = kept_bytes
         self._kept_ms = kept_ms
+        self._kept_size = 0
+        self._ended_ms_by_kept: dict[str, float] = {}
+        self._tombstones: deque[Tombstone] = deque()
         self._sealed: dict[str, None] = {}
 
     def open(self, run_id: str, deadline_ms: float) -> SharedRun:
         """A new run."""
         run = SharedRun(run_id, deadline_ms)
+        run.core.on_end = lambda: self._remember(run)
         self.by_id[run_id] = run
         if run_id in self._sealed:
             run.fail(NotRun(NotRunReason.SEALED))
@@ -203,15 +219,28 @@
             del self._sealed[next(iter(self._sealed))]
 
     def sweep(self) -> None:
-        """Forget answers past their time or beyond the memory bound, and old runs."""
+        """Forget answers past their time, and old runs."""
         now = self._clock.now_ms()
-        kept = 0
-        for run in reversed(list(self.by_id.values())):
-            core = run.core
-            if run.ended and not core.ended_ms:
-                core.ended_ms = now
-            kept += len(core.payload)
-            if run.ended and (kept > self._kept_bytes or now - core.ended_ms > self._kept_ms):
-                run.forget()
-            if run.ended and now > max(run.deadline_ms, core.ended_ms) + TOMBSTONE_MS:
-                del self.by_id[run.run_id]
+        while self._ended_ms_by_kept:
+            if now - next(iter(self._ended_ms_by_kept.values())) <= self._kept_ms:
+                break
+            self._forget_oldest()
+        while self._tombstones and self._tombstones[0].until_ms < now:
+            self.by_id.pop(self._tombstones.popleft().run_id, None)
+
+    def _remember(self, run: SharedRun) -> None:
+        now = self._clock.now_ms()
+        self._tombstones.append(Tombstone(max(run.deadline_ms, now) + TOMBSTONE_MS, run.run_id))
+        if not run.core.payload:
+            return
+        self._kept_size += len(run.core.payload)
+        self._ended_ms_by_kept[run.run_id] = now
+        while self._kept_size > self._kept_bytes:
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        run_id = next(iter(self._ended_ms_by_kept))
+        del self._ended_ms_by_kept[run_id]
+        run = self.by_id[run_id]
+        self._kept_size -= len(run.core.payload)
+        run.forget()
--- /dev/null
+++ b/foxtailproxy/tests/runs.feature
@@ -0,0 +1,27 @@
+Feature: Runs whose outcome may be asked for again
+  Answers are kept for 1,000 ms and up to 1,000 bytes; an ended run is remembered for a minute.
+
+  Scenario Outline: <case>
+    Given a table of runs
+    When a run ends with an answer of <size> bytes and <more> others follow it
+    And <later> ms pass for the runs
+    Then asking for the first gives <result>
+
+    Examples:
+      | case                             | size | more | later  | result                  |
+      | an answer is given again         | 100  | 0    | 0      | answer                  |
+      | an answer is kept for a time     | 100  | 0    | 2000   | unknown answer-not-kept |
+      | memory has a bound               | 100  | 10   | 0      | unknown answer-not-kept |
+      | an answer without a body         | 0    | 10   | 0      | answer                  |
+      | too large to be kept             | 5000 | 0    | 0      | unknown answer-not-kept |
+      | after its time it is not known   | 100  | 0    | 130000 | nothing                 |
+
+  Scenario: A sealed run never begins
+    Given a table of runs
+    When a run is sealed and then opened
+    Then it has ended as not-run sealed
+
+  Scenario: All that wait get the outcome
+    Given a table of runs
+    When 3 wait for a run that ends with an answer
+    Then each of them gets the whole answer
