--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -23,7 +23,8 @@
 from foxtailproxy.clock import Clock
 from foxtailproxy.config.builder import Configuration
 from foxtailproxy.config.rules import RuleBook, _read_section, parse_rules
-from foxtailproxy.gossip import PACKET_OVERHEAD_BYTES, PUSH_ROUNDS
+from foxtailproxy.gossip import PUSH_ROUNDS
+from foxtailproxy.gossip_socket import PACKET_OVERHEAD_BYTES
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import (
     ConfigObject,
@@ -169,19 +170,19 @@
     peer = members(count)[18]
     packet = msgspec.msgpack.encode(GossipPacket(PacketKind.ping, peer.node_id, 1))
     address = (peer.address, peer.gossip_port)
-    return best_us(lambda: node.gossip.datagramReceived(packet, address), 200)
+    return best_us(lambda: node.gossip.socket.datagramReceived(packet, address), 200)
 
 
 def round_us(count: int) -> float:
     """Time of one round of pinging, in us."""
     node = gossip_node(count)
-    return best_us(node.gossip._ping_next, 50)
+    return best_us(node.gossip.detector.ping_next, 50)
 
 
 def digest_bytes(count: int) -> float:
     """Size of a comparison without differences, in bytes."""
     node = gossip_node(count)
-    return len(msgspec.msgpack.encode(node.gossip._hashes())) + PACKET_OVERHEAD_BYTES
+    return len(msgspec.msgpack.encode(node.gossip.comparison.hashes())) + PACKET_OVERHEAD_BYTES
 
 
 def ranks_bytes(count: int) -> float:
@@ -200,14 +201,14 @@
         node.gossip.close()
         for record in records:
             node.table.merge(record)
-    before = sum(node.gossip.counters.sent_packets for node in nodes)
+    before = sum(node.gossip.socket.counters.sent_packets for node in nodes)
     nodes[0].table.update_me(state=MemberState.leaving)
     nodes[0].gossip.spread(nodes[0].table.me)
     for _ in range(400):
         wire.clock.source.advance(0.005)
     heard = sum(node.table.by_id[records[0].node_id].state is MemberState.leaving for node in nodes)
     assert heard >= 0.99 * count, f"{heard} of {count} nodes heard"
-    return sum(node.gossip.counters.sent_packets for node in nodes) - before
+    return sum(node.gossip.socket.counters.sent_packets for node in nodes) - before
 
 
 def configuration(services: int) -> str:
--- /dev/null
+++ b/foxtailproxy/gossip_socket.py
@@ -0,0 +1,137 @@
+"""The UDP socket of the membership protocol; everything sent stays within the budgets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import structlog
+from msgspec.structs import replace
+from twisted.internet.protocol import DatagramProtocol
+
+from foxtailproxy.models.messages import GossipPacket, PacketKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.membership import MemberTable
+    from foxtailproxy.models.messages import MemberRecord
+    from foxtailproxy.token_bucket import TokenBucket
+
+    Address = tuple[str, int]
+
+log = structlog.get_logger()
+
+PACKET_OVERHEAD_BYTES = 28
+"""Bytes of the IP and UDP headers of a datagram."""
+
+
+@dataclass(slots=True)
+class TrafficCounters:
+    """Bytes and packets, counted at the socket with their IP headers; `paid` between regions."""
+
+    sent_packets: int = 0
+    sent_bytes: int = 0
+    paid_sent_bytes: int = 0
+    received_packets: int = 0
+    received_bytes: int = 0
+    skipped_packets: int = 0
+
+
+class GossipSocket(DatagramProtocol):
+    """Sends and receives packets.
+
+    `config_mark` gives the generation and change that each packet tells of, `on_packet` takes each
+    packet of another node with the address it came from.
+    """
+
+    noisy = False
+    transport: Any = None
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: MemberTable,
+        budget: TokenBucket,
+        paid_budget: TokenBucket,
+        config_mark: Callable[[], tuple[int, str]],
+        on_packet: Callable[[GossipPacket, Address], None],
+    ) -> None:
+        self.counters = TrafficCounters()
+        self.budget = budget
+        self.paid_budget = paid_budget
+        self.last_heard_ms = 0.0
+        self._clock = clock
+        self._table = table
+        self._config_mark = config_mark
+        self._on_packet = on_packet
+        self._sequence = 0
+        self._decoder = msgspec.msgpack.Decoder(GossipPacket)
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def packet(self, kind: PacketKind, sequence: int = 0, **fields: Any) -> GossipPacket:
+        """A packet from this node."""
+        return GossipPacket(kind, self._table.me.node_id, sequence, **fields)
+
+    def next_sequence(self) -> int:
+        """A number that no earlier packet of this process has."""
+        self._sequence += 1
+        return self._sequence
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        """Take in a packet of another node."""
+        self.counters.received_packets += 1
+        self.counters.received_bytes += len(datagram) + PACKET_OVERHEAD_BYTES
+        try:
+            packet = self._decoder.decode(datagram)
+        except msgspec.MsgspecError:
+            log.warning("gossip_malformed", sender=addr[0])
+            return
+        if packet.sender != self._table.me.node_id:
+            self.last_heard_ms = self._clock.now_ms()
+            self._on_packet(packet, (addr[0], addr[1]))
+
+    def send(self, member: MemberRecord, packet: GossipPacket) -> bool:
+        """Send a packet to a node; `False` where the budget does not allow it."""
+        paid = member.region != self._table.me.region
+        return self._write((member.address, member.gossip_port), packet, paid)
+
+    def send_to(self, address: Address, packet: GossipPacket) -> bool:
+        """Send a packet to an address; `False` where the budget does not allow it."""
+        return self._write(address, packet, self._is_paid(address))
+
+    def _write(self, address: Address, packet: GossipPacket, paid: bool) -> bool:
+        if self.transport is None:
+            return False
+        generation, change = self._config_mark()
+        data = self._encoder.encode(
+            replace(packet, config_generation=generation, config_change=change)
+        )
+        size = len(data) + PACKET_OVERHEAD_BYTES
+        if not self._spend(size, packet, paid):
+            self.counters.skipped_packets += 1
+            return False
+        self.counters.sent_packets += 1
+        self.counters.sent_bytes += size
+        if paid:
+            self.counters.paid_sent_bytes += size
+        self.transport.write(data, address)
+        return True
+
+    def _spend(self, size: int, packet: GossipPacket, paid: bool) -> bool:
+        """Whether the budgets allow a packet."""
+        budgets = [self.paid_budget, self.budget] if paid else [self.budget]
+        if packet.kind is PacketKind.push and packet.crashes:
+            # A report that saves upstreams measures nothing; measuring makes room for it.
+            for budget in budgets:
+                budget.charge(size)
+            return True
+        return all(budget.spend(size, packet.kind is PacketKind.push) for budget in budgets)
+
+    def _is_paid(self, address: Address) -> bool:
+        for record in self._table.by_id.values():
+            if (record.address, record.gossip_port) == address:
+                return record.region != self._table.me.region
+        return False
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -154,7 +154,7 @@
         self._ports = [
             listen(node.peer_port, self._peer_factory, interface=node.address),
             listen(node.admin_port, AdminSite(self).site(), interface=node.address),
-            self._reactor.listenUDP(node.gossip_port, self.gossip, interface=node.address),
+            self._reactor.listenUDP(node.gossip_port, self.gossip.socket, interface=node.address),
         ]
         self._caller_port = listen(node.caller_port, self._caller_factory, interface=node.address)
         self.target.start()
@@ -173,7 +173,7 @@
         """Learn of the other nodes and the configuration, from the platform or from peers."""
         for address in self.settings.peers.seeds:
             host, _, port = address.rpartition(":")
-            self.gossip.compare_with_address((host, int(port)))
+            self.gossip.comparison.compare_with_address((host, int(port)))
         while self.core.name == "serving":
             # Registered first, so that of two nodes that start at once one sees the other.
             await self._register()
@@ -313,8 +313,8 @@
 
     def _config_adopted(self, book: RuleBook) -> None:
         self.paid_calls.set_rate(book.fleet.paid_call_bytes_per_s)
-        self.gossip.budget.set_rate(book.fleet.measure_bytes_per_s)
-        self.gossip.paid_budget.set_rate(book.fleet.paid_measure_bytes_per_s)
+        self.gossip.socket.budget.set_rate(book.fleet.measure_bytes_per_s)
+        self.gossip.socket.paid_budget.set_rate(book.fleet.paid_measure_bytes_per_s)
         self.gossip.spread_config()
 
     def _member_changed(self, record: MemberRecord) -> None:
--- a/foxtailproxy/tests/wire_fakes.py
+++ b/foxtailproxy/tests/wire_fakes.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from foxtailproxy.clock import Clock
-from foxtailproxy.gossip import PACKET_OVERHEAD_BYTES, Gossip
+from foxtailproxy.gossip import Gossip
+from foxtailproxy.gossip_socket import PACKET_OVERHEAD_BYTES
 from foxtailproxy.membership import MemberTable
 from foxtailproxy.models.messages import CrashReport, MemberRecord, MemberState
 from foxtailproxy.models.rules import FleetRule
@@ -45,7 +46,7 @@
     def _deliver(self, address: str, data: bytes, sender: GossipNode) -> None:
         receiver = self.by_address.get(address)
         if receiver is not None and receiver.running:
-            receiver.gossip.datagramReceived(data, (sender.record.address, 1))
+            receiver.gossip.socket.datagramReceived(data, (sender.record.address, 1))
 
 
 class GossipNode:
@@ -67,7 +68,7 @@
             TokenBucket(clock, fleet.measure_bytes_per_s),
             TokenBucket(clock, fleet.paid_measure_bytes_per_s),
         )
-        self.gossip.transport = self
+        self.gossip.socket.transport = self
         wire.by_address[record.address] = self
         self.gossip.start()
 
