Test the command line, a stalled answer and a cold start

Cause: an address that is none was looked up as a host name (exit code 5 in place of 2); the bound on a stalled answer and the replacement by a cold upstream had no test.

--- a/foxtailproxy/__main__.py
+++ b/foxtailproxy/__main__.py
@@ -21,7 +21,23 @@
     envvar="FOXTAILPROXY_PLATFORM",
     help="Address of the platform's object API.",
 )
-address_argument = click.argument("address", metavar="IP:PORT")
+
+
+class AddressType(click.ParamType):
+    """An address as IP:PORT."""
+
+    name = "address"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> Any:
+        """Check the address; a wrong one is a usage error."""
+        from foxtailproxy.config.settings import is_address
+
+        if not is_address(value):
+            self.fail(f"{value!r} is not an address as IP:PORT", param, ctx)
+        return value
+
+
+address_argument = click.argument("address", metavar="IP:PORT", type=AddressType())
 file_argument = click.argument("file", type=click.Path())
 
 
@@ -104,7 +120,13 @@
 @file_argument
 @platform_option
 @click.option("--expect", type=int, help="Generation that the change was made against.")
-@click.option("--node", "node_address", metavar="IP:PORT", help="Node to ask what is in force.")
+@click.option(
+    "--node",
+    "node_address",
+    metavar="IP:PORT",
+    type=AddressType(),
+    help="Node to ask what is in force.",
+)
 @json_option
 def apply(
     file: str, platform: str, expect: int | None, node_address: str | None, as_json: bool
--- a/foxtailproxy/config/settings.py
+++ b/foxtailproxy/config/settings.py
@@ -78,12 +78,17 @@
 def _seed_problems(peers: PeersSection | None) -> list[Problem]:
     if peers is None:
         return []
-    problems = []
-    for seed in peers.seeds:
-        host, _, port = seed.rpartition(":")
-        if not is_ip(host) or not port.isdecimal() or not 0 < int(port) <= HIGHEST_PORT:
-            problems.append(Problem("peers", "seeds", seed, "not an address as ip:port"))
-    return problems
+    return [
+        Problem("peers", "seeds", seed, "not an address as ip:port")
+        for seed in peers.seeds
+        if not is_address(seed)
+    ]
+
+
+def is_address(text: str) -> bool:
+    """Whether `text` is an IP address and a port with a colon between."""
+    host, _, port = text.rpartition(":")
+    return is_ip(host) and port.isdecimal() and 0 < int(port) <= HIGHEST_PORT
 
 
 def is_ip(text: str) -> bool:
--- a/foxtailproxy/tests/live_faults.feature
+++ b/foxtailproxy/tests/live_faults.feature
@@ -13,6 +13,7 @@
       | an upstream sheds everything        | 99    |
       | an upstream cuts its answers        | 99    |
       | an upstream becomes ten times slow  | 99    |
+      | an upstream is replaced by a cold one | 99  |
       | a node is killed                    | 99    |
 
   Scenario: A request that crashes upstreams is stopped after two, innocents are not
--- a/foxtailproxy/tests/peer_recovery.feature
+++ b/foxtailproxy/tests/peer_recovery.feature
@@ -24,6 +24,11 @@
     Then the call ends as not-run sealed within 1000 ms
     And the call ran 0 times
 
+  Scenario: A large answer that stalls half-way is cut
+    Given two nodes with a relay between them
+    When a call is sent whose answer of 200000 bytes stalls after 100000
+    Then the answer is cut within 2500 ms
+
   Scenario: A connection is used again after an answer with a length
     Given two nodes with a relay between them
     When 3 calls are sent one after another
--- a/foxtailproxy/tests/steps/live.py
+++ b/foxtailproxy/tests/steps/live.py
@@ -67,6 +67,14 @@
     live.callers.avoid(victim.caller_port)
 
 
+def _replace_cold(live: Live, victim: Member) -> None:
+    live.fleet.kill(upstream_name(victim))
+    live.fleet.start_upstream(victim)
+    live.fleet.wait_until(
+        lambda: live.fleet.set_faults(victim, cold_ms=10_000) is None, "cold start"
+    )
+
+
 FAULTS: dict[str, Callable[[Live, Member], Any]] = {
     "nothing happens": lambda live, victim: None,
     "a node is killed": lambda live, victim: live.fleet.kill(victim.node_id),
@@ -93,6 +101,7 @@
     "an upstream cuts its answers": lambda live, victim: live.fleet.set_faults(
         victim, cut_body=True
     ),
+    "an upstream is replaced by a cold one": _replace_cold,
     "an upstream becomes ten times slow": lambda live, victim: live.fleet.set_faults(
         victim, slow_factor=10.0
     ),
--- a/foxtailproxy/tests/steps/peer_recovery.py
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from typing import Any
 
 from behave import given, then, when
+from expression import Ok
+from msgspec.structs import replace
 from twisted.internet import reactor, threads
 from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.call import Call
 from foxtailproxy.clock import Clock
 from foxtailproxy.config.rules import RuleBook
+from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.errors import HttpError
+from foxtailproxy.http.messages import ResponseHead
 from foxtailproxy.http.server import ServerFactory, ServerLimits
 from foxtailproxy.load import Load
 from foxtailproxy.models.rules import ClassRule, FleetRule, Rules, ServiceRule
-from foxtailproxy.outcome import NotRun, Outcome
+from foxtailproxy.outcome import Answer, NotRun, Outcome
 from foxtailproxy.peer_client import PeerClient
 from foxtailproxy.peer_server import PeerServer
 from foxtailproxy.runs import RunTable
@@ -24,6 +30,7 @@
 
 BOUNDS = ServerLimits(32768, 65536, 10_000, 60_000)
 FAULT_AFTER_MS = 100
+LONGEST_STALL_MS = 1000
 
 
 class FakeTarget:
@@ -33,10 +40,13 @@
         self.clock = clock
         self.runs: list[str] = []
         self.run_ms = 50.0
+        self.stalling: BodyStream | None = None
 
     async def run(self, call: Call) -> Outcome:
         """Run a call."""
         self.runs.append(call.attempt_id)
+        if self.stalling is not None:
+            return Ok(Answer(ResponseHead(200, b"OK", []), self.stalling))
         await self.clock.sleep(self.run_ms)
         return make_answer(call.attempt_id.encode())
 
@@ -68,7 +78,8 @@
         config: Any = FixedConfig()
         claims = RunTable(self.clock, 1000, 1000)
         self.server = PeerServer(self.clock, LIMITS, target, config, claims)
-        self.client = PeerClient(self.clock, loop, LIMITS, lambda node_id, load: None)
+        limits = replace(LIMITS, idle_time_ms=LONGEST_STALL_MS)
+        self.client = PeerClient(self.clock, loop, limits, lambda node_id, load: None)
         factory = ServerFactory(self.server.handle, BOUNDS, self.clock)
         listening = loop.listenTCP(0, factory, interface="127.0.0.1")
         self.relay = Relay("127.0.0.1", listening.getHost().port)
@@ -151,6 +162,38 @@
     _send(context, call)
 
 
+class CutNote:
+    """Notes when a body is cut."""
+
+    def __init__(self) -> None:
+        self.cut = threading.Event()
+
+    def body_data(self, data: bytes) -> None:
+        """Not of interest."""
+
+    def body_end(self) -> None:
+        """Not expected."""
+
+    def body_failed(self, error: HttpError) -> None:
+        """The body was cut."""
+        self.cut.set()
+
+
+@when("a call is sent whose answer of {size:d} bytes stalls after {sent:d}")
+def step_stall(context: Any, size: int, sent: int) -> None:
+    body = BodyStream(size)
+    body.feed(b"x" * sent)
+    context.live.target.stalling = body
+    _send(context, _new_call(context.live))
+
+
+@then("the answer is cut within {within:d} ms")
+def step_cut(context: Any, within: int) -> None:
+    note = CutNote()
+    threads.blockingCallFromThread(reactor, context.outcome.ok.body.attach, note)
+    assert note.cut.wait(within / 1000)
+
+
 @when("{count:d} calls are sent one after another")
 def step_several(context: Any, count: int) -> None:
     for _ in range(count):
