Let a quarantine end, and count new crashes after a release

Cause: an entry node compared the length of its list of crashes with the limit before it looked at their age, so a quarantine never ended there; a released request could crash any number of upstreams; an idempotent call that got an error answer and then a refusal was told 'not run'. Ruled out: the quarantine itself (it ended by its own clock). Change: the list is taken after the look, new crashes count after a release, an error answer stands.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -86,7 +86,7 @@
 def print_summary(fleet: Fleet, tally: Tally) -> None:
     """Calls, outcomes and times for each class, and what the nodes spent."""
     print(f"{'class':<10} {'calls':>6} {'answered':>9} {'not run':>8} {'unknown':>8} ", end="")
-    print(f"{'p50 ms':>8} {'p99 ms':>8} {'added p50':>10} {'added p99':>10}")
+    print(f"{'p50 ms':>8} {'p99 ms':>8} {'over run p50':>13} {'over run p99':>13}")
     for shape in SHAPES:
         print(summary_line(shape, tally.of(shape.name)))
     statuses = [fleet.status(member) for member in fleet.members]
@@ -99,15 +99,15 @@
 
 
 def summary_line(shape: Shape, ended: list[Ended]) -> str:
-    """One class of the summary; added time is what exceeds the upstream's run time."""
+    """One class of the summary; `over run` is what exceeds the upstream's run time."""
     outcomes = Counter(one.outcome for one in ended)
     times = [one.ms for one in ended if one.outcome == "answered"]
     p50, p99 = quantile_ms(times, 50), quantile_ms(times, 99)
     run_ms = shape.run_ms or 0.0
     return (
         f"{shape.name:<10} {len(ended):>6} {outcomes['answered']:>9} {outcomes['not-run']:>8} "
-        f"{outcomes['unknown']:>8} {p50:>8.2f} {p99:>8.2f} {p50 - run_ms:>10.2f} "
-        f"{p99 - run_ms:>10.2f}"
+        f"{outcomes['unknown']:>8} {p50:>8.2f} {p99:>8.2f} {p50 - run_ms:>13.2f} "
+        f"{p99 - run_ms:>13.2f}"
     )
 
 
--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -201,7 +201,7 @@
         payload = exchange.body.held() if whole else None
         service, rule = match.service, match.rule
         allowed_ms = min(rule.deadline_ms, read_int(headers, DEADLINE, rule.deadline_ms))
-        call = Call(
+        return Call(
             head=messages.RequestHead(
                 exchange.head.method, exchange.head.target, without_own(headers)
             ),
@@ -215,8 +215,6 @@
             key="" if rule.idempotent else key,
             first_send=bool(messages.get_header(headers, FIRST_SEND)),
         )
-        call.crashed_upstreams = self._quarantine.crashed_upstreams(call)
-        return call
 
     def _match(self, head: messages.RequestHead) -> Match | NotRun:
         book = self._config.book
@@ -257,8 +255,6 @@
         if book is None:
             return False
         fleet = book.fleet
-        if len(call.crashed_upstreams) >= fleet.crash_limit:
-            return True
         return self._quarantine.blocked(call, fleet.crash_limit, fleet.quarantine_ms)
 
     async def _dispatch(self, call: Call) -> Outcome:
@@ -270,11 +266,13 @@
         book = self._config.book
         assert book is not None
         self._retries.earn(book.fleet.retry_percent)
+        call.crashed_upstreams = self._quarantine.crashed_upstreams(call)
         tried: set[str] = set()
         uncertain: Unknown | None = None
+        failed_answer: Outcome | None = None
         outcome: Outcome = Error(NotRun(NotRunReason.NO_TARGET))
         for number in range(call.rule.attempts):
-            if number and not self._may_retry(call, outcome):
+            if number and not self._may_retry(call, outcome, book.fleet.crash_limit):
                 break
             choice = self._choose(call, tried)
             if choice is None:
@@ -286,6 +284,11 @@
             if outcome.is_error() and isinstance(outcome.error, Unknown):
                 uncertain = outcome.error
                 self._note_crash(call, choice, outcome.error)
+            elif outcome.is_ok():
+                failed_answer = outcome
+        if outcome.is_error() and failed_answer is not None:
+            # An error that an upstream answered with tells more than a later refusal.
+            return failed_answer
         if uncertain is not None and outcome.is_error():
             # One of the attempts may have run, whatever the last one says.
             return Error(uncertain)
@@ -297,11 +300,13 @@
         size = len(call.payload or b"") + len(call.head.target)
         return self._router.choose(call.match, tried, size)
 
-    def _may_retry(self, call: Call, outcome: Outcome) -> bool:
+    def _may_retry(self, call: Call, outcome: Outcome, crash_limit: int) -> bool:
         if call.attempt_id in self._cancelled or call.remaining_ms(self.clock) <= 0:
             return False
         if not call.replayable or not retriable(call, outcome) or self._blocked(call):
             return False
+        if len(call.crashed_upstreams) >= crash_limit:
+            return False
         if call.crashed_upstreams and outcome.is_error() and isinstance(outcome.error, NotRun):
             # Another such request may have crashed the target; the caller may ask again later.
             return False
--- a/foxtailproxy/quarantine.py
+++ b/foxtailproxy/quarantine.py
@@ -32,11 +32,13 @@
         self.by_fingerprint: dict[str, Suspect] = {}
         self._clock = clock
         self._completed: dict[int, None] = {}
-        self._released: dict[str, None] = {}
+        self._forgiven: dict[str, list[str]] = {}
 
     def report(self, fingerprint: str, upstreams: list[str]) -> bool:
         """Upstreams died while they ran a request; returns whether this is news."""
-        if not fingerprint or fingerprint in self._released:
+        forgiven = self._forgiven.get(fingerprint, ())
+        upstreams = [name for name in upstreams if name not in forgiven]
+        if not upstreams:
             return False
         suspect = self.by_fingerprint.get(fingerprint)
         if suspect is None:
@@ -76,11 +78,15 @@
         return True
 
     def release(self, fingerprint: str) -> bool:
-        """An operator lets a request run again; `False` where it was not suspect."""
-        if self.by_fingerprint.pop(fingerprint, None) is None:
+        """An operator lets a request run again; `False` where it was not suspect.
+
+        The crashes known so far do not count any more, new ones do.
+        """
+        suspect = self.by_fingerprint.pop(fingerprint, None)
+        if suspect is None:
             return False
-        self._released[fingerprint] = None
-        self._bound(self._released, SUSPECTS)
+        self._forgiven[fingerprint] = suspect.upstreams
+        self._bound(self._forgiven, SUSPECTS)
         return True
 
     @staticmethod
