Skip the comparison with peers where the own target cannot lose

Ruled out: a change of the choice (the condition is the old one with the best possible peer). Change: a call stays at once where the own target's expected time is within its margin.

--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -156,6 +156,9 @@
         """The target for a call of `size` bytes that the targets in `tried` did not run."""
         service = match.service.name
         local = LOCAL_ID not in tried and self._target.serves(service)
+        if local and not self.local_health.ejected and self._local_lead_ms(match) >= 0:
+            # No peer can be so much better that the call would leave.
+            return LocalChoice()
         peers = self._peers(service, tried, match.rule.idempotent)
         near = [view for view in peers if view.member.region == self._region]
         best = self._better_of_two(near, match)
@@ -235,10 +238,13 @@
             match.rule.idempotent and self.local_health.trial_due
         ):
             return best.health.ejected
+        return best.time_ms(match.rule.name) + self._local_lead_ms(match) >= 0
+
+    def _local_lead_ms(self, match: Match) -> float:
+        """What the own target's margin leaves of its expected time, in ms."""
         load = self._target.load()
         local_ms = load.wait_ms(match.rule.name) + load.typical_ms
-        margin_ms = LOCAL_DATA_CENTER_MS + match.service.local_margin_ms
-        return local_ms <= best.time_ms(match.rule.name) + margin_ms
+        return LOCAL_DATA_CENTER_MS + match.service.local_margin_ms - local_ms
 
     def _overflows(self, near: TargetView | None, far: TargetView, match: Match, size: int) -> bool:
         name = match.rule.name
