--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -73,16 +73,6 @@
         typical_ms = self._load.typical_ms * 0.5 ** (age / TYPICAL_HALF_LIFE_MS)
         return self.wait_ms(class_name) + typical_ms
 
-    def time_or_prior_ms(self, class_name: str, prior_ms: float) -> float:
-        """Expected wait and run time in ms; what an old report does not tell is taken from
-        `prior_ms`, but for one call at a time that finds out."""
-        if self._load is None or not self.outstanding:
-            return self.time_ms(class_name)
-        age = self._clock.now_ms() - self._reported_ms
-        freshness = 0.5 ** (age / LOAD_HALF_LIFE_MS)
-        reported_ms = self._load.wait_ms(class_name, self._sent_since) + self._load.typical_ms
-        return reported_ms * freshness + prior_ms * (1 - freshness)
-
     def occupancy(self) -> float:
         """Expected calls for each slot, from an aged report and the calls sent since."""
         if self._load is None:
@@ -248,10 +238,7 @@
             match.rule.idempotent and self.local_health.trial_due
         ):
             return best.health.ejected
-        lead_ms = self._local_lead_ms(match)
-        margin_ms = LOCAL_DATA_CENTER_MS + match.service.local_margin_ms
-        prior_ms = margin_ms - lead_ms
-        return best.time_or_prior_ms(match.rule.name, prior_ms) + lead_ms >= 0
+        return best.time_ms(match.rule.name) + self._local_lead_ms(match) >= 0
 
     def _local_lead_ms(self, match: Match) -> float:
         """What the own target's margin leaves of its expected time, in ms."""
