--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,18 +21,33 @@
 STOP_TIMEOUT_S = 5.0
 POLL_S = 0.02
 
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
+
+_given: set[int] = set()
+
 
 def free_ports(count: int) -> list[int]:
-    """Ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((ADDRESS, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports that nothing listens on, from below those that the system gives to connections."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+        if port not in ports and port not in _given and _is_free(port):
+            ports.append(port)
+    _given.update(ports)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as one:
+            try:
+                one.bind((ADDRESS, port))
+            except OSError:
+                return False
+    return True
+
+
 def http_json(method: str, url: str, body: Any = None, timeout_s: float = 5.0) -> Any:
     """Call a JSON interface. Raises `OSError` where it does not answer."""
     data = None if body is None else json.dumps(body).encode()
