Tell calls from questions by the attempt id; bound what an upstream may hold

Cause: found by reading. A call that a node passed on was taken for a question between nodes where its path began with /attempts/ or /claims/ or was /config, and never ran; a call that may not run again kept its slot for ever if its upstream went silent; a node started during an outage asked its seeds only once. Ruled out: callers forging the header (own headers are dropped at the entry). Change: a call carries an attempt id, a question does not; 30 s after the deadline the slot is free; seeds are asked until the platform answers.

--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -171,10 +171,8 @@
 
     async def _join(self) -> None:
         """Learn of the other nodes and the configuration, from the platform or from peers."""
-        for address in self.settings.peers.seeds:
-            host, _, port = address.rpartition(":")
-            self.gossip.comparison.compare_with_address((host, int(port)))
         while self.core.name == "serving":
+            self._compare_with_seeds()
             # Registered first, so that of two nodes that start at once one sees the other.
             await self._register()
             listing = await self.platform.list_objects(MEMBER_PREFIX)
@@ -188,6 +186,11 @@
         self._spread_me()
         await self._keep_registered()
 
+    def _compare_with_seeds(self) -> None:
+        for address in self.settings.peers.seeds:
+            host, _, port = address.rpartition(":")
+            self.gossip.comparison.compare_with_address((host, int(port)))
+
     def _take_registered(self, value: str) -> None:
         try:
             self.table.merge(msgspec.json.decode(value, type=MemberRecord))
--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -85,20 +85,23 @@
     async def handle(self, exchange: ServerExchange) -> None:
         """Serve one request of another node."""
         target = exchange.head.target
-        if target.startswith(ATTEMPT_PATH):
+        if messages.get_header(exchange.head.headers, ATTEMPT) is not None:
+            # A call, whatever its path; questions carry no attempt id.
+            await self._run(exchange)
+        elif target.startswith(ATTEMPT_PATH):
             self._answer_question(exchange, target[len(ATTEMPT_PATH) :].decode("latin-1"))
         elif target.startswith(CLAIM_PATH):
             self._answer_claim(exchange, target[len(CLAIM_PATH) :].decode("latin-1"))
         elif target == CONFIG_PATH:
             self._answer_config(exchange)
         else:
-            await self._run(exchange)
+            self._respond(exchange, "", Error(NotRun(NotRunReason.BAD_REQUEST)))
 
     async def _run(self, exchange: ServerExchange) -> None:
         attempt_id = messages.get_text(exchange.head.headers, ATTEMPT)
         book = self._config.book
         match = None if book is None else match_call(exchange.head.headers, book)
-        if match is None or not attempt_id:
+        if match is None:
             self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.NO_CONFIGURATION)))
             return
         known = self.attempts.find(attempt_id)
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -34,6 +34,9 @@
 SWEEP_MS = 20
 """Time between two looks at deadlines, in milliseconds."""
 
+OVERDUE_MS = 30_000
+"""Time after its deadline for which a call that may not run again keeps its slot and connection."""
+
 CRASH_CHECK_MS = 50
 """Time between the loss of a connection and the check whether the upstream died."""
 
@@ -133,11 +136,8 @@
 
     def serves(self, service: str) -> bool:
         """Whether new calls of `service` may run."""
-        return (
-            self.serving
-            and self.announcement is not None
-            and (self.announcement.service == service)
-        )
+        announcement = self.announcement
+        return self.serving and announcement is not None and announcement.service == service
 
     def load(self) -> Load:
         """The load now."""
@@ -149,11 +149,7 @@
         if refusal is not None:
             return Error(refusal)
         admitted: Deferred[NotRun | None] = Deferred()
-        ticket = Ticket(
-            call,
-            lambda: admitted.callback(None),
-            admitted.callback,
-        )
+        ticket = Ticket(call, lambda: admitted.callback(None), admitted.callback)
         running = RunningCall(call, ticket)
         self._by_attempt[call.attempt_id] = running
         self.admission.enter(ticket)
@@ -288,6 +284,7 @@
         self.admission.sweep()
         now = self._clock.now_ms()
         for running in list(self._by_attempt.values()):
-            overdue = running.call.deadline_ms <= now
-            if overdue and running.connection is not None and running.call.rule.idempotent:
+            patience_ms = 0 if running.call.rule.idempotent else OVERDUE_MS
+            overdue = running.call.deadline_ms + patience_ms <= now
+            if overdue and running.connection is not None:
                 running.connection.fail(DeadlinePassed())
--- a/foxtailproxy/tests/peer_recovery.feature
+++ b/foxtailproxy/tests/peer_recovery.feature
@@ -24,6 +24,18 @@
     Then the call ends as not-run sealed within 1000 ms
     And the call ran 0 times
 
+  Scenario Outline: A call for <path> is a call and no question between nodes
+    Given two nodes with a relay between them
+    When a call for <path> is sent
+    Then the call ends as answered within 1000 ms
+    And the call ran 1 times
+
+    Examples:
+      | path        |
+      | /attempts/1 |
+      | /claims/1   |
+      | /config     |
+
   Scenario: A large answer that stalls half-way is cut
     Given two nodes with a relay between them
     When a call is sent whose answer of 200000 bytes stalls after 100000
--- a/foxtailproxy/tests/steps/peer_recovery.py
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -122,8 +122,8 @@
     context.live = threads.blockingCallFromThread(reactor, TwoNodes)
 
 
-def _new_call(nodes: TwoNodes) -> Call:
-    return make_call(nodes.clock, rule={"name": "booking", "idempotent": False})
+def _new_call(nodes: TwoNodes, path: str = "/bookings") -> Call:
+    return make_call(nodes.clock, rule={"name": "booking", "idempotent": False}, path=path)
 
 
 def _send(context: Any, call: Call) -> None:
@@ -179,6 +179,11 @@
         self.cut.set()
 
 
+@when("a call for {path} is sent")
+def step_path(context: Any, path: str) -> None:
+    _send(context, _new_call(context.live, path))
+
+
 @when("a call is sent whose answer of {size:d} bytes stalls after {sent:d}")
 def step_stall(context: Any, size: int, sent: int) -> None:
     body = BodyStream(size)
