Run an idempotent call again where a kept connection was cut; pause between watches

An upstream that closes an idle connection just as a call is sent on it cost a call that may run again one of its targets, and with one target its answer; a platform that answers watches at once would have been asked without a pause. Ruled out: a crash (the check 50 ms later finds the upstream alive). Change: such a call runs again here on a new connection; a watch shorter than 50 ms is followed by a pause.

--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -35,6 +35,8 @@
 CHECK_INTERVAL_MS = 500
 """Time between two looks whether this node is to watch."""
 
+SHORTEST_WATCH_MS = 50
+
 RETRY_MS = 300
 """Shortest pause after the platform did not answer; the longest is three times that."""
 
@@ -134,10 +136,12 @@
             if not self.watches():
                 await self._clock.sleep(CHECK_INTERVAL_MS)
                 continue
+            begun_ms = self._clock.now_ms()
             listing = await self._platform.watch(CONFIG_PREFIX, self._revision)
             if listing.is_ok():
                 self._take(listing.ok)
-            else:
+            if listing.is_error() or self._clock.now_ms() - begun_ms < SHORTEST_WATCH_MS:
+                # Neither an outage nor a platform that answers at once may become a busy loop.
                 await self._clock.sleep(RETRY_MS * (1 + 2 * self._rng.random()))
 
     def _take(self, listing: ObjectListing) -> None:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -197,13 +197,24 @@
             connection.abort()
             return Error(NotRun(NotRunReason.DEADLINE))
         running.connection = connection
+        reused = connection.used
         head = RequestHead(call.head.method, call.head.target, upstream_headers(call, self._clock))
         try:
             response = await connection.request(head, call.body())
         except HttpError as error:
-            return Error(await self._lost(running, error))
+            failure = await self._lost(running, error)
+            if reused and failure.reason is UnknownReason.UPSTREAM_LOST and not failure.crashed:
+                return await self._run_again(call, failure)
+            return Error(failure)
         return self._answered(running, response)
 
+    async def _run_again(self, call: Call, failure: Unknown) -> Outcome:
+        """A connection kept open was cut: most likely the upstream had just closed it."""
+        if not call.rule.idempotent or not call.replayable or self._pool is None:
+            return Error(failure)
+        self._pool.drop_idle()
+        return await self.run(call)
+
     def _answered(self, running: RunningCall, response: ClientResponse) -> Outcome:
         self._end_with_body(running, response.body)
         if get_text(response.head.headers, OUTCOME).startswith("not-run"):
--- /dev/null
+++ b/foxtailproxy/tests/steps/target.py
@@ -0,0 +1,111 @@
+"""Steps for the upstream beside a node."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet import reactor, threads
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.protocol import Factory, Protocol
+
+from foxtailproxy.call import Call
+from foxtailproxy.clock import Clock
+from foxtailproxy.models.messages import Announcement
+from foxtailproxy.target import Target
+from foxtailproxy.tests.fakes import make_call
+from standins.fleet import free_ports
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nfoxtail-outcome: not-run; reason=busy\r\ncontent-length: 2\r\n\r\nno"
+)
+
+
+class FakeUpstream(Protocol):
+    """Answers each request; by habit it cuts a connection that is used again."""
+
+    transport: Any = None
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Count the connection."""
+        self.factory.connections += 1
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Answer a request, which fits in one packet."""
+        self.requests += 1
+        if self.requests > 1 and "cuts" in self.factory.habit:
+            self.transport.abortConnection()
+        else:
+            self.transport.write(REFUSAL if "refuses" in self.factory.habit else ANSWER)
+
+
+class Quiet:
+    """Listens to a target and does nothing."""
+
+    def target_changed(self) -> None:
+        """Not of interest."""
+
+    def target_crashed(self, calls: list[Call]) -> None:
+        """Not of interest."""
+
+    def call_completed(self, call: Call) -> None:
+        """Not of interest."""
+
+
+class OneTarget:
+    """A target and its upstream."""
+
+    def __init__(self, habit: str) -> None:
+        loop: Any = reactor
+        self.factory: Any = Factory.forProtocol(FakeUpstream)
+        self.factory.noisy = False
+        self.factory.habit = habit
+        self.factory.connections = 0
+        port = free_ports(1)[0]
+        self.listening = None
+        if habit != "does not listen":
+            self.listening = loop.listenTCP(port, self.factory, interface="127.0.0.1")
+        self.clock = Clock(loop)
+        self.target = Target(self.clock, loop, Quiet())
+        self.target.announce(Announcement("kalender", "127.0.0.1", port, 2))
+        self.target.start()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        threads.blockingCallFromThread(reactor, self._close)
+
+    def _close(self) -> None:
+        self.target.close()
+        if self.listening is not None:
+            self.listening.stopListening()
+
+
+@given("an upstream that {habit}")
+def step_upstream(context: Any, habit: str) -> None:
+    context.live = threads.blockingCallFromThread(reactor, OneTarget, habit)
+
+
+@when("{count:d} calls that {may} run again are sent one after another")
+def step_calls(context: Any, count: int, may: str) -> None:
+    one = context.live
+    context.ends = []
+    for _ in range(count):
+        call = make_call(one.clock, rule={"idempotent": may == "may"})
+        outcome = threads.blockingCallFromThread(
+            reactor, lambda call=call: ensureDeferred(one.target.run(call))
+        )
+        context.ends.append("answered" if outcome.is_ok() else str(outcome.error.reason))
+
+
+@then("they end as {outcomes}")
+def step_outcomes(context: Any, outcomes: str) -> None:
+    assert " ".join(context.ends) == outcomes, context.ends
+
+
+@then("the upstream opened {count:d} connections")
+def step_opened(context: Any, count: int) -> None:
+    assert context.live.factory.connections == count, context.live.factory.connections
