End the processes of a scenario whose fleet did not start

Cause: a fleet that failed to start was not known to the clean-up; processes of an early failed run were still there half an hour later. Change: the fleet is known before it starts.

--- a/foxtailproxy/tests/live.py
+++ b/foxtailproxy/tests/live.py
@@ -52,7 +52,7 @@
     ended: list[Ended] = field(default_factory=list)
     marks: dict[str, float] = field(default_factory=dict)
 
-    def start(self, count: int, **fleet_rules: Any) -> Live:
+    def start(self, count: int, **fleet_rules: Any) -> None:
         """Start a platform and `count` nodes with an upstream each."""
         self.fleet = Fleet(Path(self.folder.name))
         self.fleet.start_platform()
@@ -60,7 +60,6 @@
             self.fleet.add(f"n{number}", *PLACES[number % len(PLACES)], "kalender")
         self.fleet.start_members()
         self.fleet.apply(configuration(**fleet_rules))
-        return self
 
     @property
     def members(self) -> list[Member]:
--- a/foxtailproxy/tests/steps/live.py
+++ b/foxtailproxy/tests/steps/live.py
@@ -32,7 +32,8 @@
 
 @given("{count:d} nodes under real load")
 def step_live(context: Any, count: int) -> None:
-    context.live = Live().start(count)
+    context.live = Live()
+    context.live.start(count)
     context.victim = context.live.members[1]
 
 
