--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -63,11 +63,7 @@
             return max(0, self.outstanding + 1 - slots) / slots
         age = self._clock.now_ms() - self._reported_ms
         freshness = 0.5 ** (age / LOAD_HALF_LIFE_MS)
-        load = self._load
-        # The report ages; what was sent since is certain.
-        ahead = (load.running + 1 - load.slots) * freshness + self._sent_since
-        residual_ms = max(0.0, ahead) * load.service_ms / max(1, load.slots)
-        return residual_ms + load.wait_by_class.get(class_name, 0.0) * freshness
+        return self._load.wait_ms(class_name, self._sent_since) * freshness
 
     def time_ms(self, class_name: str) -> float:
         """Expected wait and run time at the target in ms."""
