--- a/foxtailproxy/load.py
+++ b/foxtailproxy/load.py
@@ -25,7 +25,7 @@
     def wait_ms(self, class_name: str, extra: float = 0.0) -> float:
         """Expected wait for a slot, in ms, with `extra` calls ahead that the report lacks."""
         ahead = self.running + extra + 1 - self.slots
-        residual_ms = max(0.0, ahead) * self.typical_ms / max(1, self.slots)
+        residual_ms = max(0.0, ahead) * self.service_ms / max(1, self.slots)
         return residual_ms + self.wait_by_class.get(class_name, 0.0)
 
     def occupancy(self, extra: float = 0.0) -> float:
