--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -141,10 +141,6 @@
         """Whether no call runs or waits."""
         return not self._running and not self._queued
 
-    def running_calls(self) -> list[Call]:
-        """The calls that hold a slot."""
-        return [ticket.call for ticket in self._running]
-
     def set_slots(self, slots: int) -> None:
         """Change the number of slots; running calls keep theirs."""
         self.slots = slots
