Remember a run for at least as long as its answer is kept

Cause: found by reading. With kept_answer_ms above a minute a run was forgotten before its answer, and the next look through the kept answers failed with a KeyError, which ended the looks for good. Ruled out: the default (60,000 ms), where the answer goes first. Change: the longer of the two times counts.

--- a/foxtailproxy/runs.py
+++ b/foxtailproxy/runs.py
@@ -222,7 +222,7 @@
         """Forget answers past their time, and old runs."""
         now = self._clock.now_ms()
         while self._ended_ms_by_kept:
-            if now - next(iter(self._ended_ms_by_kept.values())) <= self._kept_ms:
+            if now - next(iter(self._ended_ms_by_kept.values())) < self._kept_ms:
                 break
             self._forget_oldest()
         while self._tombstones and self._tombstones[0].until_ms < now:
@@ -230,7 +230,9 @@
 
     def _remember(self, run: SharedRun) -> None:
         now = self._clock.now_ms()
-        self._tombstones.append(Tombstone(max(run.deadline_ms, now) + TOMBSTONE_MS, run.run_id))
+        # A run is remembered at least for as long as its answer is kept.
+        until_ms = max(run.deadline_ms + TOMBSTONE_MS, now + max(TOMBSTONE_MS, self._kept_ms))
+        self._tombstones.append(Tombstone(until_ms, run.run_id))
         if not run.core.payload:
             return
         self._kept_size += len(run.core.payload)
--- a/foxtailproxy/tests/runs.feature
+++ b/foxtailproxy/tests/runs.feature
@@ -16,6 +16,17 @@
       | too large to be kept             | 5000 | 0    | 0      | unknown answer-not-kept |
       | after its time it is not known   | 100  | 0    | 130000 | nothing                 |
 
+  Scenario Outline: Answers kept for longer than runs are remembered, <later> ms later
+    Given a table of runs that keeps answers for 200000 ms
+    When a run ends with an answer of 100 bytes and 1 others follow it
+    And <later> ms pass for the runs
+    Then asking for the first gives <result>
+
+    Examples:
+      | later  | result  |
+      | 130000 | answer  |
+      | 230000 | nothing |
+
   Scenario: A sealed run never begins
     Given a table of runs
     When a run is sealed and then opened
--- a/foxtailproxy/tests/steps/runs.py
+++ b/foxtailproxy/tests/steps/runs.py
@@ -20,8 +20,13 @@
 
 @given("a table of runs")
 def step_table(context: Any) -> None:
+    step_table_keeping(context, KEPT_MS)
+
+
+@given("a table of runs that keeps answers for {kept_ms:d} ms")
+def step_table_keeping(context: Any, kept_ms: int) -> None:
     context.clock = fake_clock()
-    context.run_table = RunTable(context.clock, KEPT_BYTES, KEPT_MS)
+    context.run_table = RunTable(context.clock, KEPT_BYTES, kept_ms)
     context.clock.repeat(SWEEP_MS, context.run_table.sweep)
 
 
