--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -143,7 +143,7 @@
     """A router that knows some members."""
     clock = fake_clock()
     target: Any = NoTarget(clock)
-    router = Router(clock, "me", "region-0", target, lambda _: True, random.Random(1))
+    router = Router(clock, "me", "region-0", "dc-0", target, lambda _: True, random.Random(1))
     for record in records:
         router.member_changed(record)
     return router
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -142,7 +142,15 @@
     def _router(self, target: SimulatedTarget) -> Router:
         own: Any = target
         member = target.member
-        router = Router(self.clock, member.node_id, member.region, own, lambda _: True, self.rng)
+        router = Router(
+            self.clock,
+            member.node_id,
+            member.region,
+            member.data_center,
+            own,
+            lambda _: True,
+            self.rng,
+        )
         for other in self.targets:
             if other is not target:
                 router.member_changed(other.member)
--- a/foxtailproxy/__main__.py
+++ b/foxtailproxy/__main__.py
@@ -63,7 +63,7 @@
 
 
 @cli.command(epilog=EXIT_CODES)
-@click.argument("settings", type=click.Path())
+@click.argument("settings", type=click.Path(), envvar="FOXTAILPROXY_CONFIG")
 @click.option("--check", is_flag=True, help="Check the settings and stop.")
 def node(settings: str, check: bool) -> None:
     """Run the node that SETTINGS (an INI file) describes, until it is drained.
--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -109,7 +109,7 @@
             members=[_member_status(member) for _, member in sorted(node.table.by_id.items())],
             ejected=[name for name, view in node.router.by_id.items() if view.health.ejected],
             traffic=_fields(node.gossip.socket.counters),
-            platform=_fields(node.platform.counters),
+            platform=_fields(node.store.counters),
             calls=self._calls(),
         )
 
@@ -150,9 +150,9 @@
             "config_generation": self._node.config.mark()[0],
             "gossip_sent_bytes": self._node.gossip.socket.counters.sent_bytes,
             "gossip_paid_sent_bytes": self._node.gossip.socket.counters.paid_sent_bytes,
-            "platform_reads": self._node.platform.counters.reads,
-            "platform_writes": self._node.platform.counters.writes,
-            "platform_watches": self._node.platform.counters.watches,
+            "platform_reads": self._node.store.counters.reads,
+            "platform_writes": self._node.store.counters.writes,
+            "platform_watches": self._node.store.counters.watches,
             "retries": self._node.metrics.retries,
         }
 
--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -13,6 +13,7 @@
 
 from foxtailproxy.load import Load
 from foxtailproxy.outcome import NotRun, NotRunReason
+from foxtailproxy.speed import RunTimes, Slowness
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +40,7 @@
     on_refuse: Callable[[NotRun], None]
     entered_ms: float = 0.0
     started_ms: float = -1.0
+    slowness: float = 1.0
 
     @property
     def running(self) -> bool:
@@ -103,6 +105,8 @@
         self.slots = slots
         self.fair = True
         self.bound_long = True
+        self.slowness = Slowness(clock)
+        self.run_times = RunTimes(clock)
         self._clock = clock
         self._by_class: dict[str, ClassQueue] = {}
         self._running: set[Ticket] = set()
@@ -126,8 +130,24 @@
             self._service_ms,
             typical_ms,
             self._waits() if self._queued else {},
+            self.run_times.by_class() if self.slowness.known else {},
+            self.slowness.last if self.slowness.known else 0.0,
+            self.slowness.age_ms if self.slowness.known else 0.0,
+            self.run_times.drag() if self.slowness.known else 1.0,
         )
 
+    def expected_ms(self, call: Call) -> float:
+        """Expected wait and run time of a call here, in ms; 0 where its class was never seen."""
+        usual_ms = self.run_times.usual_ms(call.rule.name)
+        if usual_ms is None:
+            return 0.0
+        wait_ms = self._expected_wait_ms(self._queue_of(call)) if self._full else 0.0
+        return wait_ms + usual_ms * self.slowness.expected() * self.run_times.drag()
+
+    @property
+    def _full(self) -> bool:
+        return self._queued > 0 or len(self._running) >= self.slots
+
     def _waits(self) -> dict[str, float]:
         """Expected wait in ms of each class that has calls waiting, by its name."""
         return {
@@ -170,6 +190,7 @@
         self._running.discard(ticket)
         elapsed = self._clock.now_ms() - ticket.started_ms
         queue = self._queue_of(ticket.call)
+        self.run_times.record(ticket.call.rule.name, elapsed, ticket.slowness)
         queue.service_ms += SERVICE_TIME_SMOOTHING * (elapsed - queue.service_ms)
         self._service_ms += SERVICE_TIME_SMOOTHING * (elapsed - self._service_ms)
         log_elapsed = math.log(max(elapsed, SHORTEST_SERVICE_MS))
@@ -242,6 +263,7 @@
 
     def _start(self, ticket: Ticket, queue: ClassQueue) -> None:
         ticket.started_ms = self._clock.now_ms()
+        ticket.slowness = self.slowness.expected()
         self._running.add(ticket)
         self._virtual_ms = max(self._virtual_ms, queue.virtual_ms)
         queue.virtual_ms = max(queue.virtual_ms, self._virtual_ms)
--- a/foxtailproxy/call.py
+++ b/foxtailproxy/call.py
@@ -9,6 +9,7 @@
 
 from foxtailproxy.config.rules import Match
 from foxtailproxy.http.body import BodyStream
+from foxtailproxy.terms import NO_TERMS, Terms
 
 if TYPE_CHECKING:
     from foxtailproxy.clock import Clock
@@ -26,7 +27,8 @@
 class Call:
     """A request with what the rules say of it.
 
-    `deadline_ms` is a moment of this node's clock. `payload` holds the body where it is whole in
+    `deadline_ms` and `caller_deadline_ms` are moments of this node's clock: when the call is given
+    up, and until when its caller waits. `payload` holds the body where it is whole in
     memory, so that it can be sent again; otherwise the body streams once from `stream`.
     `first_send` is the caller's word that it has never sent `key` before.
     """
@@ -41,10 +43,19 @@
     stream: BodyStream | None = None
     key: str = ""
     first_send: bool = False
+    caller_deadline_ms: float = 0.0
+    received_ms: float = 0.0
+    terms: Terms = NO_TERMS
     crashed_upstreams: list[str] = field(default_factory=list)
     attempt_id: str = field(default_factory=lambda: new_id())
+    send_number: int = 0
     _fingerprint: str = ""
 
+    @property
+    def send_id(self) -> str:
+        """Names one send of the call; a call that was handed back is sent again under another."""
+        return f"{self.attempt_id}#{self.send_number}" if self.send_number else self.attempt_id
+
     @property
     def fingerprint(self) -> str:
         """A digest that is the same on all nodes for the same request."""
@@ -76,6 +87,10 @@
         """Time left until the deadline; negative once it has passed."""
         return self.deadline_ms - clock.now_ms()
 
+    def objective_left_ms(self, clock: Clock) -> float:
+        """Time left within which an answer is worth most; negative once it has passed."""
+        return self.received_ms + self.rule.objective_ms - clock.now_ms()
+
     def body(self) -> BodyStream:
         """The body for one attempt."""
         if self.payload is not None:
--- a/foxtailproxy/claims.py
+++ b/foxtailproxy/claims.py
@@ -17,17 +17,17 @@
 
 from foxtailproxy.call import Call, new_id
 from foxtailproxy.http.errors import HttpError
-from foxtailproxy.models.messages import ClaimRecord, StoredObject
+from foxtailproxy.models.messages import ClaimRecord
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
-from foxtailproxy.platform_client import Conflict, Missing
 from foxtailproxy.runs import RunTable, SharedRun
+from foxtailproxy.store import Conflict, Missing, StoredObject
 
 if TYPE_CHECKING:
     from foxtailproxy.clock import Clock
     from foxtailproxy.models.messages import MemberRecord
     from foxtailproxy.models.settings import LimitsSection
     from foxtailproxy.peer_client import PeerClient
-    from foxtailproxy.platform_client import PlatformClient, PlatformFailure
+    from foxtailproxy.store import Store, StoreFailure
 
 log = structlog.get_logger()
 
@@ -70,7 +70,7 @@
         self,
         clock: Clock,
         limits: LimitsSection,
-        platform: PlatformClient,
+        platform: Store,
         peers: PeerClient,
         me: MemberRecord,
     ) -> None:
@@ -144,8 +144,8 @@
         call: Call,
         name: str,
         claim_id: str,
-        stored: Result[StoredObject, PlatformFailure],
-        written: Result[StoredObject, PlatformFailure],
+        stored: Result[StoredObject, StoreFailure],
+        written: Result[StoredObject, StoreFailure],
     ) -> Result[int, ClaimFailure]:
         """Decide from what the platform says who holds the key; `Ok` with the claim's version."""
         if stored.is_error():
@@ -200,4 +200,4 @@
     for part in (call.tenant, call.key):
         encoded = part.encode("latin-1", "replace")
         digest.update(len(encoded).to_bytes(4, "big") + encoded)
-    return f"claims/{call.service.name}/{digest.hexdigest()}"
+    return f"claims/{call.service.name}.{digest.hexdigest()}"
--- a/foxtailproxy/commands/client.py
+++ b/foxtailproxy/commands/client.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.exceptions import AnswerError, UnreachableError
+from foxtailproxy.logs import configure_client_logs
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -21,6 +22,7 @@
 
 def run_async(coroutine: Coroutine[Any, Any, Returned]) -> Returned:
     """Run a coroutine to its end and return its result or raise its error."""
+    configure_client_logs()
     results: list[Returned] = []
     errors: list[BaseException] = []
     loop: Any = reactor
--- a/foxtailproxy/commands/config.py
+++ b/foxtailproxy/commands/config.py
@@ -13,11 +13,12 @@
 from foxtailproxy.config.difference import difference
 from foxtailproxy.config.rules import format_rules, parse_rules
 from foxtailproxy.config.settings import read_text
-from foxtailproxy.config_sync import CONFIG_NAME
+from foxtailproxy.config_sync import CONFIG_PATH
 from foxtailproxy.exceptions import AnswerError, ConflictError, UnreachableError
-from foxtailproxy.models.messages import ConfigObject, StoredObject
+from foxtailproxy.models.messages import ConfigObject
 from foxtailproxy.models.settings import PlatformSection
-from foxtailproxy.platform_client import Conflict, Missing, PlatformClient, PlatformFailure
+from foxtailproxy.platform.store_client import StoreClient
+from foxtailproxy.store import Conflict, Missing, Store, StoredObject, StoreFailure
 
 READ_BACK_TRIES = 5
 
@@ -58,15 +59,15 @@
     return CheckReport(len(rules.services), len(rules.classes))
 
 
-def open_platform(url: str) -> PlatformClient:
+def open_platform(url: str) -> Store:
     """A client for the platform at `url`."""
     loop: Any = reactor
-    return PlatformClient(loop, PlatformSection(url, timeout_ms=5000))
+    return StoreClient(loop, PlatformSection(url, timeout_ms=5000))
 
 
-async def show(platform: PlatformClient) -> CurrentConfig:
+async def show(platform: Store) -> CurrentConfig:
     """The configuration at the platform. Raises `UnreachableError` or `AnswerError`."""
-    stored = await platform.read(CONFIG_NAME)
+    stored = await platform.read(CONFIG_PATH)
     if stored.is_ok():
         return CurrentConfig(stored.ok.version, _decode(stored.ok))
     if isinstance(stored.error, Missing):
@@ -74,15 +75,13 @@
     raise _unreachable(stored.error)
 
 
-async def compare(platform: PlatformClient, path: str) -> str:
+async def compare(platform: Store, path: str) -> str:
     """The difference that applying a file would make."""
     current = await show(platform)
     return _difference(current, read_rules(path))
 
 
-async def apply(
-    platform: PlatformClient, path: str, expected: int | None, node: str | None
-) -> ApplyReport:
+async def apply(platform: Store, path: str, expected: int | None, node: str | None) -> ApplyReport:
     """Replace the configuration, unless another operator did so since it was read.
 
     `expected` is the generation that the change was made against. A `node` given is asked for its
@@ -102,9 +101,9 @@
     )
     value = msgspec.json.encode(change).decode()
     if current.version:
-        written = await platform.update(CONFIG_NAME, value, current.version)
+        written = await platform.update(CONFIG_PATH, value, current.version)
     else:
-        written = await platform.create(CONFIG_NAME, value)
+        written = await platform.create(CONFIG_PATH, value)
     if written.is_error():
         await _read_back(platform, change, current, written.error)
     return ApplyReport(change.generation, change.change_id, _difference(current, text))
@@ -117,11 +116,11 @@
 
 
 async def _read_back(
-    platform: PlatformClient, change: ConfigObject, current: CurrentConfig, failure: PlatformFailure
+    platform: Store, change: ConfigObject, current: CurrentConfig, failure: StoreFailure
 ) -> None:
     """Find out whether a write took effect whose answer was lost."""
     for _ in range(READ_BACK_TRIES):
-        stored = await platform.read(CONFIG_NAME)
+        stored = await platform.read(CONFIG_PATH)
         if stored.is_ok():
             config = _decode(stored.ok)
             if config.change_id == change.change_id:
@@ -148,8 +147,8 @@
     try:
         return msgspec.json.decode(stored.value, type=ConfigObject)
     except msgspec.MsgspecError as error:
-        raise AnswerError(f"{CONFIG_NAME}: {error}") from error
+        raise AnswerError(f"{CONFIG_PATH}: {error}") from error
 
 
-def _unreachable(failure: PlatformFailure) -> UnreachableError:
+def _unreachable(failure: StoreFailure) -> UnreachableError:
     return UnreachableError(f"platform: {getattr(failure, 'cause', type(failure).__name__)}")
--- a/foxtailproxy/commands/node.py
+++ b/foxtailproxy/commands/node.py
@@ -28,6 +28,7 @@
     from twisted.internet.error import CannotListenError
 
     from foxtailproxy.node import Node
+    from foxtailproxy.settings_watch import SettingsWatch
 
     configure_logs()
     node = Node(reactor, settings)
@@ -41,7 +42,15 @@
     def stop(number: int, frame: Any) -> None:
         loop.callFromThread(node.drain)
 
+    watch = SettingsWatch(node.clock, path, node.reload)
+    watch.start()
+
+    def reread(number: int, frame: Any) -> None:
+        loop.callFromThread(watch.check)
+
+    node.core.closed.addCallback(lambda _: watch.close())
     node.core.closed.addCallback(lambda _: loop.stop())
+    signal.signal(signal.SIGHUP, reread)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     loop.run(installSignalHandlers=False)
--- a/foxtailproxy/config/rules.py
+++ b/foxtailproxy/config/rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
@@ -11,11 +12,12 @@
 
 from foxtailproxy.config.ini import Problem, format_value, read_model, read_sections
 from foxtailproxy.exceptions import SettingsError
-from foxtailproxy.models.rules import ClassRule, FleetRule, Rules, ServiceRule
+from foxtailproxy.models.rules import ClassRule, FleetRule, RouteRule, Rules, ServiceRule
 
 FLEET = "fleet"
 SERVICE = "service"
 CLASS = "class"
+ROUTE = "route"
 
 REMEMBERED_SECTIONS = 2048
 """Sections remembered as read; more than a configuration of 180 services has."""
@@ -32,7 +34,7 @@
     reader.check()
     if reader.problems:
         raise SettingsError(source, list(reader.problems))
-    return Rules(reader.fleet, reader.services, reader.classes)
+    return Rules(reader.fleet, reader.services, reader.classes, reader.routes)
 
 
 @lru_cache(maxsize=REMEMBERED_SECTIONS)
@@ -53,6 +55,7 @@
         self.fleet = FleetRule()
         self.services: list[ServiceRule] = []
         self.classes: list[ClassRule] = []
+        self.routes: list[RouteRule] = []
         self.problems: list[Problem] = []
 
     def read(self, section: str, raw: dict[str, str]) -> None:
@@ -65,8 +68,10 @@
         elif kind == CLASS and name.count("/") == 1:
             service, class_name = name.split("/")
             self._add(ClassRule, section, raw, {"service": service, "name": class_name})
+        elif kind == ROUTE and name:
+            self._add(RouteRule, section, raw, {"name": name})
         else:
-            reason = "unknown section; known: fleet, service NAME, class SERVICE/NAME"
+            reason = "unknown section; known: fleet, service NAME, class SERVICE/NAME, route NAME"
             self.problems.append(Problem(section, "", "", reason))
 
     def _add(
@@ -80,6 +85,8 @@
             self.fleet = result.ok
         elif isinstance(result.ok, ServiceRule):
             self.services.append(result.ok)
+        elif isinstance(result.ok, RouteRule):
+            self.routes.append(result.ok)
         else:
             self.classes.append(result.ok)
 
@@ -87,7 +94,12 @@
         """Check what concerns more than one section."""
         by_host: dict[str, str] = {}
         names = {service.name for service in self.services}
+        routed = {name for route in self.routes for name in weights_of(route)}
         for service in self.services:
+            if not service.hosts and service.name not in routed:
+                section = f"{SERVICE} {service.name}"
+                reason = "missing, and no route leads to the service"
+                self.problems.append(Problem(section, "hosts", "", reason))
             for host in service.hosts:
                 owner = by_host.setdefault(host.lower(), service.name)
                 if owner != service.name:
@@ -98,9 +110,35 @@
             section = f"{CLASS} {rule.service}/{rule.name}"
             if rule.service not in names:
                 self.problems.append(Problem(section, "", "", f"no service {rule.service!r}"))
-            if rule.hold_ms > rule.deadline_ms:
-                reason = f"longer than deadline_ms = {rule.deadline_ms}"
-                self.problems.append(Problem(section, "hold_ms", str(rule.hold_ms), reason))
+            self._check_hold(section, rule)
+        for route in self.routes:
+            self._check_route(route, names)
+
+    def _check_route(self, route: RouteRule, names: set[str]) -> None:
+        section = f"{ROUTE} {route.name}"
+        self._check_hold(section, route)
+        if not route.path_prefix.endswith("/"):
+            reason = "does not end with a slash"
+            self.problems.append(Problem(section, "path_prefix", route.path_prefix, reason))
+        for service, weight in weights_of(route).items():
+            if service not in names:
+                self.problems.append(Problem(section, "services", service, "no such service"))
+            elif not weight and len(route.services) == 1:
+                self.problems.append(Problem(section, "services", service, "its weight is 0"))
+
+    def _check_hold(self, section: str, rule: ClassRule | RouteRule) -> None:
+        if rule.hold_ms > rule.deadline_ms:
+            reason = f"longer than deadline_ms = {rule.deadline_ms}"
+            self.problems.append(Problem(section, "hold_ms", str(rule.hold_ms), reason))
+
+
+def weights_of(route: RouteRule) -> dict[str, int]:
+    """The weight of each service of a route, by its name."""
+    weights = {}
+    for part in route.services:
+        name, _, weight = part.partition("=")
+        weights[name] = int(weight) if weight else 1
+    return weights
 
 
 def format_rules(rules: Rules) -> str:
@@ -114,6 +152,8 @@
             if rule.service == service.name:
                 section = f"{CLASS} {rule.service}/{rule.name}"
                 parts.append(_format_section(section, rule, ("service", "name")))
+    for route in sorted(rules.routes, key=lambda route: route.name):
+        parts.append(_format_section(f"{ROUTE} {route.name}", route, ("name",)))
     return "\n".join(parts)
 
 
@@ -141,6 +181,70 @@
     rule: ClassRule
 
 
+class RouteTable:
+    """The routes of one host, with the share of each service."""
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, SharedRoute] = {}
+
+    def add(self, route: SharedRoute) -> None:
+        """Add a route; of two with one prefix the first stays."""
+        self._by_prefix.setdefault(route.prefix, route)
+
+    def find(self, path: str) -> SharedRoute | None:
+        """The route with the longest prefix that begins `path`."""
+        end = len(path)
+        while end > 0:
+            end = path.rfind("/", 0, end) + 1
+            route = self._by_prefix.get(path[:end])
+            if route is not None:
+                return route
+            end -= 1
+        return None
+
+
+class SharedRoute:
+    """A route whose services take their turns by weight.
+
+    Each choice goes to the service that is furthest behind its share, so that shares hold over
+    short times as well.
+    """
+
+    def __init__(self, route: RouteRule, service_by_name: dict[str, ServiceRule]) -> None:
+        self.prefix = route.path_prefix
+        self._weight_by_name = weights_of(route)
+        self._total = sum(self._weight_by_name.values())
+        # Nodes start at different places of the turn, so that few requests at each share well.
+        self._credit_by_name = {
+            name: random.randrange(self._total or 1) for name in self._weight_by_name
+        }
+        self._match_by_name = {
+            name: Match(service_by_name[name], class_of(route, name))
+            for name in self._weight_by_name
+            if name in service_by_name
+        }
+
+    def next(self) -> Match | None:
+        """The service whose turn it is, with the rule of the route."""
+        if len(self._weight_by_name) == 1:
+            return next(iter(self._match_by_name.values()), None)
+        for name, weight in self._weight_by_name.items():
+            self._credit_by_name[name] += weight
+        chosen = max(self._credit_by_name, key=lambda name: self._credit_by_name[name])
+        self._credit_by_name[chosen] -= self._total
+        return self._match_by_name.get(chosen)
+
+
+def class_of(route: RouteRule, service: str) -> ClassRule:
+    """The class that the requests of a route form at one of its services."""
+    shared = {
+        field.name: getattr(route, field.name)
+        for field in msgspec.structs.fields(ClassRule)
+        if field.name not in ("service", "methods", "path_prefix", "long")
+    }
+    return ClassRule(service=service, **shared)
+
+
 class RuleBook:
     """Finds the rules for a request."""
 
@@ -154,13 +258,23 @@
         for rule in sorted(rules.classes, key=lambda rule: -len(rule.path_prefix)):
             self._classes_by_service.setdefault(rule.service, []).append(rule)
         self._class_by_key = {(rule.service, rule.name): rule for rule in rules.classes}
+        self.route_count = len(rules.routes)
+        self._routes_by_host: dict[str, RouteTable] = {}
+        for route in rules.routes:
+            table = self._routes_by_host.setdefault(route.host.lower(), RouteTable())
+            table.add(SharedRoute(route, self.service_by_name))
 
     def match(self, host: str, method: str, path: str) -> Match | None:
         """The service that `host` names and the class of the request, or `None`.
 
         A request that fits no class gets one that runs at most once.
         """
-        service = self._service_by_host.get(host.lower().partition(":")[0])
+        name = host.lower().partition(":")[0]
+        table = self._routes_by_host.get(name)
+        route = None if table is None else table.find(path)
+        if route is not None:
+            return route.next()
+        service = self._service_by_host.get(name)
         if service is None:
             return None
         for rule in self._classes_by_service.get(service.name, ()):
--- a/foxtailproxy/config/settings.py
+++ b/foxtailproxy/config/settings.py
@@ -11,11 +11,14 @@
 from foxtailproxy.config.ini import Problem, read_model, read_sections
 from foxtailproxy.exceptions import FileError, SettingsError
 from foxtailproxy.models.settings import (
+    BudgetsSection,
     LimitsSection,
+    LinksSection,
     NodeSection,
     NodeSettings,
     PeersSection,
     PlatformSection,
+    UpstreamSection,
 )
 
 HIGHEST_PORT = 65535
@@ -25,6 +28,9 @@
     "platform": PlatformSection,
     "peers": PeersSection,
     "limits": LimitsSection,
+    "upstream": UpstreamSection,
+    "budgets": BudgetsSection,
+    "links": LinksSection,
 }
 
 
@@ -55,6 +61,7 @@
             values[name] = result.ok
     problems.extend(_node_problems(values.get("node")))
     problems.extend(_seed_problems(values.get("peers")))
+    problems.extend(_address_problems(values))
     if problems:
         raise SettingsError(source, list(problems))
     return NodeSettings(**values)
@@ -69,12 +76,43 @@
     taken: dict[int, str] = {}
     for key in ("caller_port", "peer_port", "admin_port"):
         port = getattr(node, key)
+        if not port:
+            continue
         if port in taken:
             problems.append(Problem("node", key, str(port), f"already used by {taken[port]}"))
         taken[port] = key
     return problems
 
 
+ADDRESS_KEYS = (
+    ("node", "caller_address"),
+    ("node", "ready_address"),
+    ("node", "control_address"),
+    ("upstream", "address"),
+)
+"""Keys that may be empty or hold an address with its port."""
+
+
+def _address_problems(values: dict[str, Any]) -> list[Problem]:
+    problems = []
+    for section, key in ADDRESS_KEYS:
+        value = getattr(values.get(section), key, "")
+        if value and not is_address(value):
+            problems.append(Problem(section, key, value, "not an address as ip:port"))
+    node = values.get("node")
+    if node is not None and not node.caller_address and not node.caller_port:
+        problems.append(Problem("node", "caller_port", "", "missing, and no caller_address"))
+    return problems
+
+
+def split_address(address: str, host: str = "", port: int = 0) -> tuple[str, int]:
+    """The IP address and port in `address`; `host` and `port` where it is empty."""
+    if not address:
+        return host, port
+    ip, _, number = address.rpartition(":")
+    return ip, int(number)
+
+
 def _seed_problems(peers: PeersSection | None) -> list[Problem]:
     if peers is None:
         return []
--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -4,30 +4,33 @@
 
 import hashlib
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 import structlog
+from expression import Result
 from twisted.internet.defer import ensureDeferred
 
+from foxtailproxy.config.ini import Problem
 from foxtailproxy.config.rules import RuleBook, parse_rules
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.messages import ConfigObject, MemberState
-from foxtailproxy.platform_client import Missing
+from foxtailproxy.store import Changes, HistoryGone, Missing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from foxtailproxy.clock import Clock
     from foxtailproxy.membership import MemberTable
-    from foxtailproxy.models.messages import MemberRecord, ObjectListing
+    from foxtailproxy.models.messages import MemberRecord
+    from foxtailproxy.models.rules import Rules
     from foxtailproxy.peer_client import PeerClient
-    from foxtailproxy.platform_client import PlatformClient
+    from foxtailproxy.store import Store, StoreFailure
 
 log = structlog.get_logger()
 
-CONFIG_PREFIX = "config/"
-CONFIG_NAME = "config/current"
+CONFIG_KIND = "config"
+CONFIG_PATH = "config/current"
 
 WATCHERS_PER_DATA_CENTER = 2
 """Nodes of a data centre that watch the platform; the others hear from them."""
@@ -46,22 +49,55 @@
     return (0, "") if config is None else (config.generation, config.change_id)
 
 
+class ConfigSource(Protocol):
+    """Where the configuration lies in the store, and how it is written there."""
+
+    kind: str
+    path: str
+
+    def decode(self, value: str) -> ConfigObject:
+        """The version of a configuration with its text. Raises `SettingsError`."""
+
+    def parse(self, text: str, source: str) -> Rules:
+        """The rules of a configuration. Raises `SettingsError`."""
+
+
+class OwnConfigSource:
+    """Configurations in INI, as `foxtailproxy config apply` writes them."""
+
+    kind = CONFIG_KIND
+    path = CONFIG_PATH
+
+    def decode(self, value: str) -> ConfigObject:
+        """The version of a configuration with its text. Raises `SettingsError`."""
+        try:
+            return msgspec.json.decode(value, type=ConfigObject)
+        except msgspec.MsgspecError as error:
+            raise SettingsError(CONFIG_PATH, [Problem("", "", "", str(error))]) from error
+
+    def parse(self, text: str, source: str) -> Rules:
+        """The rules of a configuration. Raises `SettingsError`."""
+        return parse_rules(text, source)
+
+
 class ConfigSync:
     """Adopts configurations and never goes back to an older one."""
 
     def __init__(
         self,
         clock: Clock,
-        platform: PlatformClient,
+        store: Store,
         peers: PeerClient,
         table: MemberTable,
         rng: random.Random,
         on_adopted: Callable[[RuleBook], None],
+        config_source: ConfigSource | None = None,
     ) -> None:
         self.in_force: ConfigObject | None = None
         self.book: RuleBook | None = None
         self._clock = clock
-        self._platform = platform
+        self._store = store
+        self._source = config_source or OwnConfigSource()
         self._peers = peers
         self._table = table
         self._rng = rng
@@ -89,19 +125,27 @@
                 log.warning("config_older_ignored", generation=config.generation, source=source)
             return False
         try:
-            book = RuleBook(parse_rules(config.text, source))
+            book = RuleBook(self._source.parse(config.text, source))
         except SettingsError as error:
-            log.error("config_invalid", generation=config.generation, problems=len(error.problems))
+            log.error(
+                "config_invalid", generation=config.generation, problem=str(error.problems[0])
+            )
             return False
         self.in_force = config
         self.book = book
-        log.info("config_adopted", generation=config.generation, source=source)
+        log.info(
+            "config_adopted",
+            generation=config.generation,
+            source=source,
+            services=len(book.service_by_name),
+            routes=book.route_count,
+        )
         self._on_adopted(book)
         return True
 
     async def read_platform(self) -> bool:
         """Read the configuration from the platform; returns whether the platform answered."""
-        stored = await self._platform.read(CONFIG_NAME)
+        stored = await self._store.read(self._source.path)
         if stored.is_error():
             return isinstance(stored.error, Missing)
         self._offer_stored(stored.ok.value)
@@ -137,25 +181,35 @@
                 await self._clock.sleep(CHECK_INTERVAL_MS)
                 continue
             begun_ms = self._clock.now_ms()
-            listing = await self._platform.watch(CONFIG_PREFIX, self._revision)
-            if listing.is_ok():
-                self._take(listing.ok)
-            if listing.is_error() or self._clock.now_ms() - begun_ms < SHORTEST_WATCH_MS:
+            changes = await self._changes()
+            if changes.is_ok():
+                self._take(changes.ok)
+            if changes.is_error() or self._clock.now_ms() - begun_ms < SHORTEST_WATCH_MS:
                 # Neither an outage nor a platform that answers at once may become a busy loop.
                 await self._clock.sleep(RETRY_MS * (1 + 2 * self._rng.random()))
 
-    def _take(self, listing: ObjectListing) -> None:
-        if listing.revision < self._revision:
-            log.warning("platform_went_back", revision=listing.revision, seen=self._revision)
-        self._revision = listing.revision
-        for stored in listing.objects:
-            if stored.name == CONFIG_NAME:
+    async def _changes(self) -> Result[Changes, StoreFailure]:
+        """Wait for changes; a listing starts over where the history is gone or none was seen."""
+        if self._revision:
+            changes = await self._store.watch(self._source.kind, self._revision)
+            if not (changes.is_error() and isinstance(changes.error, HistoryGone)):
+                return changes
+            log.warning("store_history_gone", revision=self._revision)
+        listing = await self._store.list_objects(self._source.kind)
+        return listing.map(lambda found: Changes(found.revision, found.objects))
+
+    def _take(self, changes: Changes) -> None:
+        if changes.revision < self._revision:
+            log.warning("platform_went_back", revision=changes.revision, seen=self._revision)
+        self._revision = changes.revision
+        for stored in changes.objects:
+            if stored.path == self._source.path:
                 self._offer_stored(stored.value)
 
     def _offer_stored(self, value: str) -> None:
         try:
-            config = msgspec.json.decode(value, type=ConfigObject)
-        except msgspec.MsgspecError:
-            log.error("config_malformed")
+            config = self._source.decode(value)
+        except SettingsError as error:
+            log.error("config_malformed", problem=str(error.problems[0]))
             return
         self.offer(config, "platform")
--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -11,6 +11,7 @@
 from foxtailproxy.call import MAX_DEPTH, Call, new_id
 from foxtailproxy.claims import unchecked
 from foxtailproxy.clock import cancel_timer
+from foxtailproxy.dialect import CallerRequest, Dialect, MalformedCall
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import DiscardSink
 from foxtailproxy.http.errors import HttpError
@@ -23,18 +24,9 @@
     Unknown,
     UnknownReason,
 )
-from foxtailproxy.retry_budget import RetryBudget
+from foxtailproxy.retry_budget import RetryBudgets
 from foxtailproxy.routing import LOCAL_ID, Choice, LocalChoice, PeerChoice
-from foxtailproxy.wire import (
-    ATTEMPT,
-    DEADLINE,
-    DEPTH,
-    FIRST_SEND,
-    KEY,
-    failure_response,
-    read_int,
-    without_own,
-)
+from foxtailproxy.wire import FIRST_SEND, KEY
 
 if TYPE_CHECKING:
     from foxtailproxy.claims import Claim, Claims
@@ -58,6 +50,9 @@
 
 SERVER_ERROR = 500
 
+MOST_SENDS = 8
+"""Nodes that one call is sent to at most, those that hand it back included."""
+
 FINAL_REASONS = frozenset(
     (
         NotRunReason.DEADLINE,
@@ -102,7 +97,7 @@
             return
         self._answered = True
         self._entry.note(self.call, outcome, self._started_ms)
-        respond(self._exchange, self.call.attempt_id, outcome)
+        self._entry.respond(self._exchange, self.call, outcome)
 
     def _overdue(self) -> None:
         self.finish(Error(Unknown(UnknownReason.DEADLINE)))
@@ -127,6 +122,8 @@
         claims: Claims,
         quarantine: Quarantine,
         metrics: Metrics,
+        dialect: Dialect,
+        retries: RetryBudgets,
         log_calls: bool,
     ) -> None:
         self.clock = clock
@@ -140,7 +137,8 @@
         self._quarantine = quarantine
         self._metrics = metrics
         self._log_calls = log_calls
-        self._retries = RetryBudget()
+        self._dialect = dialect
+        self._retries = retries
         self._cancelled: set[str] = set()
 
     async def handle(self, exchange: ServerExchange) -> None:
@@ -149,7 +147,7 @@
         try:
             call = await self._receive(exchange)
             if isinstance(call, NotRun):
-                respond(exchange, new_id(), Error(refusal_of(exchange.head.headers, call)))
+                self._refuse(exchange, call)
                 return
             pending = PendingCall(self, exchange, call)
             pending.finish(await self._decide(call))
@@ -160,9 +158,32 @@
     def cancel(self, call: Call) -> None:
         """The caller has gone or was told the outcome; stop what may run again."""
         self._cancelled.add(call.attempt_id)
-        self._target.cancel(call.attempt_id)
+        self._target.cancel(call.send_id)
         if call.rule.idempotent:
-            self._peers.cancel(call.attempt_id)
+            self._peers.cancel(call.send_id)
+
+    def _refuse(self, exchange: ServerExchange, refusal: NotRun) -> None:
+        """Answer a request that did not become a call."""
+        request = self._dialect.read_caller(exchange.head.headers)
+        attempt_id, allowed_ms = "", None
+        if isinstance(request, CallerRequest):
+            attempt_id, allowed_ms = request.attempt_id, request.allowed_ms
+        log.info("call_refused", attempt=attempt_id, reason=refusal.reason)
+        failure = refusal_of(exchange.head.headers, refusal)
+        left_ms = refusal.retry_after_ms if allowed_ms is None else allowed_ms
+        exchange.respond(*self._dialect.failure(failure, attempt_id or new_id(), left_ms))
+
+    def respond(self, exchange: ServerExchange, call: Call, outcome: Outcome) -> None:
+        """Give a caller its outcome."""
+        if outcome.is_error():
+            left_ms = call.caller_deadline_ms - self.clock.now_ms()
+            exchange.respond(*self._dialect.failure(outcome.error, call.attempt_id, left_ms))
+            return
+        answer: Answer = outcome.ok
+        headers = self._dialect.answer_headers(answer.head.headers, call.attempt_id)
+        exchange.respond(
+            messages.ResponseHead(answer.head.status, answer.head.reason, headers), answer.body
+        )
 
     def note(self, call: Call, outcome: Outcome, started_ms: float) -> None:
         """Count and log a call that has ended."""
@@ -184,14 +205,17 @@
 
     async def _receive(self, exchange: ServerExchange) -> Call | NotRun:
         headers = exchange.head.headers
+        received_ms = self.clock.now_ms()
         match = self._match(exchange.head)
         if isinstance(match, NotRun):
             return match
-        depth = read_int(headers, DEPTH, 0) + 1
-        if depth > MAX_DEPTH:
+        request = self._dialect.read_caller(headers)
+        if isinstance(request, MalformedCall):
+            log.info("call_malformed", what=request.what)
+            return NotRun(NotRunReason.BAD_REQUEST)
+        if request.depth + 1 > MAX_DEPTH:
             return NotRun(NotRunReason.TOO_DEEP)
-        key = messages.get_text(headers, KEY)
-        if len(key) > MAX_KEY_LENGTH:
+        if len(request.key) > MAX_KEY_LENGTH:
             return NotRun(NotRunReason.BAD_REQUEST)
         exchange.accept_body()
         try:
@@ -200,20 +224,21 @@
             return NotRun(NotRunReason.REQUEST_CUT)
         payload = exchange.body.held() if whole else None
         service, rule = match.service, match.rule
-        allowed_ms = min(rule.deadline_ms, read_int(headers, DEADLINE, rule.deadline_ms))
+        allowed_ms = rule.deadline_ms if request.allowed_ms is None else request.allowed_ms
         return Call(
-            head=messages.RequestHead(
-                exchange.head.method, exchange.head.target, without_own(headers)
-            ),
+            head=messages.RequestHead(exchange.head.method, exchange.head.target, request.headers),
             service=service,
             rule=rule,
             tenant=messages.get_text(headers, service.tenant_header.encode()),
-            deadline_ms=self.clock.now_ms() + allowed_ms,
-            depth=depth,
+            deadline_ms=received_ms + min(rule.deadline_ms, allowed_ms),
+            caller_deadline_ms=received_ms + allowed_ms,
+            received_ms=received_ms,
+            depth=request.depth + 1,
             payload=payload,
             stream=exchange.body,
-            key="" if rule.idempotent else key,
-            first_send=bool(messages.get_header(headers, FIRST_SEND)),
+            key="" if rule.idempotent else request.key,
+            first_send=request.first_send,
+            attempt_id=request.attempt_id or new_id(),
         )
 
     def _match(self, head: messages.RequestHead) -> Match | NotRun:
@@ -265,22 +290,34 @@
             return Error(NotRun(NotRunReason.DEADLINE))
         book = self._config.book
         assert book is not None
-        self._retries.earn(book.fleet.retry_percent)
+        self._retries.earn(call.service.name)
         call.crashed_upstreams = self._quarantine.crashed_upstreams(call)
         tried: set[str] = set()
+        declined: set[str] = set()
+        arrivals = 0
         uncertain: Unknown | None = None
         failed_answer: Outcome | None = None
         outcome: Outcome = Error(NotRun(NotRunReason.NO_TARGET))
-        for number in range(call.rule.attempts):
-            if number and not self._may_retry(call, outcome, book.fleet.crash_limit):
+        for number in range(MOST_SENDS):
+            if arrivals >= call.rule.attempts:
                 break
-            choice = self._choose(call, tried)
+            if number and not self._may_retry(call, outcome, book.fleet.crash_limit, arrivals):
+                break
+            choice = self._choose(call, tried, frozenset(declined))
             if choice is None:
                 break
-            if number:
+            if arrivals:
                 self._metrics.retries += 1
+            call.terms = choice.terms
+            call.send_number = number
             outcome = await self._send(choice, call)
-            tried.add(choice.view.member.node_id if isinstance(choice, PeerChoice) else LOCAL_ID)
+            place = choice.view.member.node_id if isinstance(choice, PeerChoice) else LOCAL_ID
+            self._log_send(call, place, outcome, number)
+            if handed_back(outcome):
+                declined.add(place)
+                continue
+            tried.add(place)
+            arrivals += reached_target(outcome)
             if outcome.is_error() and isinstance(outcome.error, Unknown):
                 uncertain = outcome.error
                 self._note_crash(call, choice, outcome.error)
@@ -294,13 +331,28 @@
             return Error(uncertain)
         return outcome
 
-    def _choose(self, call: Call, tried: set[str]) -> Choice | None:
+    def _log_send(self, call: Call, place: str, outcome: Outcome, number: int) -> None:
+        """Log a send that did not bring an answer, which the next decision follows from."""
+        if outcome.is_ok() or not self._log_calls:
+            return
+        log.info(
+            "send_failed",
+            attempt=call.attempt_id,
+            target=place or "own",
+            number=number,
+            outcome=outcome_word(outcome),
+            reason=outcome.error.reason,
+            left_ms=round(call.remaining_ms(self.clock)),
+        )
+
+    def _choose(self, call: Call, tried: set[str], declined: frozenset[str]) -> Choice | None:
         if call.crashed_upstreams:
             return self._router.choose_for_suspect(call)
         size = len(call.payload or b"") + len(call.head.target)
-        return self._router.choose(call.match, tried, size)
+        left_ms = call.objective_left_ms(self.clock)
+        return self._router.choose(call.match, tried, size, declined, left_ms)
 
-    def _may_retry(self, call: Call, outcome: Outcome, crash_limit: int) -> bool:
+    def _may_retry(self, call: Call, outcome: Outcome, crash_limit: int, arrivals: int) -> bool:
         if call.attempt_id in self._cancelled or call.remaining_ms(self.clock) <= 0:
             return False
         if not call.replayable or not retriable(call, outcome) or self._blocked(call):
@@ -310,7 +362,8 @@
         if call.crashed_upstreams and outcome.is_error() and isinstance(outcome.error, NotRun):
             # Another such request may have crashed the target; the caller may ask again later.
             return False
-        return self._retries.spend(self.clock.now_ms())
+        # A call that has not reached a target yet is not repeated by being sent to one.
+        return not arrivals or self._retries.spend(call.service.name)
 
     async def _send(self, choice: Choice, call: Call) -> Outcome:
         health = self._router.health_of(choice)
@@ -324,6 +377,7 @@
             self._router.failed(call.service.name, health)
         elif outcome.is_ok():
             health.success()
+            self._router.answered(call.class_key, outcome.ok.body.size)
             self._quarantine.completed(call)
         return outcome
 
@@ -365,6 +419,18 @@
     return call.rule.idempotent and failure.reason is not UnknownReason.DEADLINE
 
 
+def handed_back(outcome: Outcome) -> bool:
+    """Whether a target gave the call back since another one is faster now."""
+    return outcome.is_error() and outcome.error.reason is NotRunReason.FASTER_ELSEWHERE
+
+
+def reached_target(outcome: Outcome) -> bool:
+    """Whether the call may have reached an upstream, which then counts as an attempt."""
+    if outcome.is_ok() or isinstance(outcome.error, Unknown):
+        return True
+    return outcome.error.reason is NotRunReason.UPSTREAM_REFUSED
+
+
 def is_fault(outcome: Outcome) -> bool:
     """Whether a call ended so through a fault of the target."""
     if outcome.is_ok():
@@ -380,16 +446,3 @@
     if outcome.is_ok():
         return "answered"
     return "not-run" if isinstance(outcome.error, NotRun) else "unknown"
-
-
-def respond(exchange: ServerExchange, attempt_id: str, outcome: Outcome) -> None:
-    """Give a caller its outcome."""
-    if outcome.is_error():
-        head, body = failure_response(outcome.error, attempt_id)
-        exchange.respond(head, body)
-        return
-    answer: Answer = outcome.ok
-    headers = messages.end_to_end(answer.head.headers)
-    headers.append((ATTEMPT, attempt_id.encode()))
-    head = messages.ResponseHead(answer.head.status, answer.head.reason, headers)
-    exchange.respond(head, answer.body)
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -7,6 +7,7 @@
 
 import httptools
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
@@ -14,7 +15,7 @@
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import BodyCut, ConnectionCut, HttpError, MalformedResponse
-from foxtailproxy.http.transport import write_now
+from foxtailproxy.http.transport import watch_for_dead_peer, write_now
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,6 +46,8 @@
         self.closed = False
         self.used = False
         self.last_heard_ms = 0.0
+        self.idle_since_ms = 0.0
+        self.stated_idle_ms: float | None = None
         self.on_heard: Callable[[ClientConnection], None] | None = None
         self._reset_parser()
         self._waiting: Deferred[ClientResponse] | None = None
@@ -133,7 +136,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Set the options of a new connection."""
         self.transport.setTcpNoDelay(True)
-        self.transport.setTcpKeepAlive(True)
+        watch_for_dead_peer(self.transport)
         self.transport.registerProducer(self, True)
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -170,13 +173,15 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """End the exchange in progress."""
         self.closed = True
-        self._end_at_close()
+        self._end_at_close(reason)
         if self.on_closed is not None:
             self.on_closed(self)
 
-    def _end_at_close(self) -> None:
+    def _end_at_close(self, reason: Any) -> None:
         body = self._response_body
-        if body is not None and body.length is None and not self._chunked_response():
+        # A body without a length ends with its connection, but not with a reset one.
+        orderly = reason is not None and reason.check(ConnectionDone) is not None
+        if orderly and body is not None and body.length is None and not self._chunked_response():
             self._response_body = None
             body.end()
         self._fail(ConnectionCut())
@@ -209,6 +214,7 @@
         if status < 200 or self._waiting is None:
             return
         self._keep_alive = self._may_reuse(status)
+        self.stated_idle_ms = messages.idle_timeout_ms(self._headers)
         head = messages.ResponseHead(status, self._reason, self._headers)
         length = messages.get_header(self._headers, b"content-length")
         body = BodyStream(None if length is None else int(length), self)
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -116,6 +116,12 @@
         """Cut the connection, so that the client can see that the response is not whole."""
         self.abort()
 
+    def reject(self) -> None:
+        """The connection answers the request itself, which turned out to be malformed."""
+        self.lost = True
+        if self.on_lost is not None:
+            self.on_lost()
+
     def abort(self) -> None:
         """Cut the connection."""
         self._connection.abort()
--- a/foxtailproxy/http/messages.py
+++ b/foxtailproxy/http/messages.py
@@ -80,6 +80,15 @@
     return frozenset(part.strip().lower() for part in value.split(b","))
 
 
+def idle_timeout_ms(headers: HeaderList) -> float | None:
+    """The idle timeout that a Keep-Alive header states, in milliseconds, or `None`."""
+    for part in get_text(headers, b"keep-alive").split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdecimal():
+            return int(value) * 1000.0
+    return None
+
+
 def reason_of(status: int) -> bytes:
     """The standard reason phrase of `status`."""
     try:
--- a/foxtailproxy/http/pool.py
+++ b/foxtailproxy/http/pool.py
@@ -18,6 +18,13 @@
 IDLE_CONNECTIONS = 64
 """Idle connections kept for one server."""
 
+IDLE_MARGIN_MS = 1000
+"""Time before the end of a server's idle timeout from which a connection is not used again; the
+timeout is stated in whole seconds."""
+
+DEFAULT_IDLE_MS = 8000
+"""Longest idle time where a server states no timeout, in milliseconds."""
+
 
 class ConnectionPool:
     """Opens connections to `address`:`port` and keeps idle ones for the next exchange."""
@@ -31,17 +38,38 @@
         self._all: set[ClientConnection] = set()
         self._closed = False
 
-    async def acquire(self, fresh: bool = False) -> ClientConnection:
+    async def acquire(
+        self, fresh: bool = False, longest_idle_ms: float | None = None
+    ) -> ClientConnection:
         """A connection that no exchange uses; a new one where `fresh`.
 
-        Raises `ConnectFailed`.
+        One that has been idle for longer than `longest_idle_ms` is not used. Raises
+        `ConnectFailed`.
         """
+        self._drop_old()
         while self._idle and not fresh:
-            connection = self._idle.pop()
+            connection = self._idle[-1]
+            if longest_idle_ms is not None and self._idle_ms(connection) > longest_idle_ms:
+                break
+            self._idle.pop()
             if not connection.closed:
                 return connection
         return await self._open()
 
+    def _idle_ms(self, connection: ClientConnection) -> float:
+        return self._reactor.seconds() * 1000 - connection.idle_since_ms
+
+    def _drop_old(self) -> None:
+        """Close the connections that the server is about to close; the oldest come first."""
+        while self._idle:
+            connection = self._idle[0]
+            stated_ms = connection.stated_idle_ms
+            limit_ms = DEFAULT_IDLE_MS if stated_ms is None else stated_ms - IDLE_MARGIN_MS
+            if self._idle_ms(connection) < limit_ms:
+                return
+            self._idle.pop(0)
+            connection.abort()
+
     async def _open(self) -> ClientConnection:
         endpoint = TCP4ClientEndpoint(self._reactor, self.address, self.port, CONNECT_TIMEOUT_S)
         try:
@@ -58,6 +86,7 @@
         if self._closed or len(self._idle) >= IDLE_CONNECTIONS:
             connection.abort()
         else:
+            connection.idle_since_ms = self._reactor.seconds() * 1000
             self._idle.append(connection)
 
     def _forget(self, connection: ClientConnection) -> None:
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -67,7 +67,7 @@
     ) -> None:
         self.closing = False
         self._handler = handler
-        self._limits = limits
+        self.limits = limits
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[ServerExchange] = deque()
@@ -86,7 +86,7 @@
         """Start the timers of a new connection."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self._start_timer(self._limits.header_time_ms)
+        self._start_timer(self.limits.header_time_ms)
         self.factory.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -152,7 +152,7 @@
         """A new request begins."""
         self._in_head = True
         self._head_size = 0
-        self._start_timer(self._limits.header_time_ms)
+        self._start_timer(self.limits.header_time_ms)
         self._url = b""
         self._headers = []
 
@@ -193,7 +193,7 @@
         exchange = self._receiving
         if exchange is None:
             return
-        if exchange.body.size + len(data) > self._limits.body_bytes:
+        if exchange.body.size + len(data) > self.limits.body_bytes:
             exchange.body.fail(BodyTooLarge())
             raise RequestRejected(413, "body-too-large")
         exchange.body.feed(data)
@@ -214,11 +214,13 @@
         if b"\x00" in head.target or b"upgrade" in names or head.method == b"CONNECT":
             raise RequestRejected(501, "upgrade-not-supported")
         if b"transfer-encoding" in names:
+            if head.http_version == "1.0":
+                raise RequestRejected(400, "transfer-encoding-in-http-1.0")
             if messages.get_text(headers, b"transfer-encoding").strip().lower() != "chunked":
                 raise RequestRejected(400, "transfer-encoding")
             return None
         length = int(messages.get_header(headers, b"content-length") or 0)
-        if length > self._limits.body_bytes:
+        if length > self.limits.body_bytes:
             raise RequestRejected(413, "body-too-large")
         return length
 
@@ -226,7 +228,7 @@
         if not self._in_head:
             return
         self._head_size += received
-        if self._head_size > self._limits.header_bytes:
+        if self._head_size > self.limits.header_bytes:
             raise RequestRejected(431, "header-too-large")
 
     def _reject_cause(self, cause: BaseException | None) -> None:
@@ -240,14 +242,12 @@
         """Answer a request that cannot be parsed, after those before it, and close."""
         self._dead = True
         exchange = self._receiving
-        if exchange is not None:
-            exchange.body.fail(BodyTooLarge() if status == 413 else ConnectionCut())
         if self._exchanges:
             # The answers of the requests before it cannot be told from this one any more.
             if self._exchanges[0].started or len(self._exchanges) > 1:
                 self.transport.abortConnection()
                 return
-            self._exchanges[0].lost = True
+            self._exchanges[0].reject()
         body = b'{"outcome":"not-run","reason":"%s"}\n' % reason.encode()
         head = messages.ResponseHead(
             status,
@@ -260,6 +260,8 @@
         framing = [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
         self.transport.write(messages.format_response(head, framing) + body)
         self.transport.loseConnection()
+        if exchange is not None:
+            exchange.body.fail(BodyTooLarge() if status == 413 else ConnectionCut())
 
     def _serve(self, exchange: ServerExchange) -> None:
         done: Any = ensureDeferred(self._handler(exchange))  # type: ignore[arg-type]
@@ -283,7 +285,7 @@
         elif self.closing:
             self.transport.loseConnection()
         elif not self._in_head:
-            self._start_timer(self._limits.idle_time_ms)
+            self._start_timer(self.limits.idle_time_ms)
 
     def _serve_next(self) -> None:
         if self._exchanges and not self._exchanges[0].started and not self._dead:
@@ -354,6 +356,12 @@
         connection.factory = self
         return connection
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Change the bounds, also of open connections."""
+        self._limits = limits
+        for connection in self.connections:
+            connection.limits = limits
+
     def start(self) -> None:
         """Begin to look for clients that take too long."""
         self._loop = self._clock.repeat(TIME_CHECK_MS, self._check_times)
--- a/foxtailproxy/http/transport.py
+++ b/foxtailproxy/http/transport.py
@@ -1,9 +1,30 @@
-"""Writing to a socket without a turn of the reactor."""
+"""Options of sockets, and writing to one without a turn of the reactor."""
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
+KEEP_ALIVE_IDLE_S = 1
+"""Quiet time after which the kernel asks the other side for a sign of life, in seconds."""
+
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+
+UNACKNOWLEDGED_MS = 2000
+"""Time after which a connection with data that nobody acknowledges is cut, in milliseconds; two
+lost packets in a row are sent again within it."""
+
+
+def watch_for_dead_peer(transport: Any) -> None:
+    """Make the kernel cut a connection whose other side has gone without a word."""
+    handle = transport.getHandle()
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
 
 def write_now(transport: Any, data: bytes) -> None:
     """Send at once what the socket takes; the reactor sends the rest when there is room.
--- a/foxtailproxy/load.py
+++ b/foxtailproxy/load.py
@@ -4,15 +4,18 @@
 
 from dataclasses import dataclass, field
 
-FIELD_COUNT = 6
+FIELD_COUNT = 9
 
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Calls running and queued, the slots they share, and service times in ms.
+    """Calls running and queued, the slots they share, service times in ms, and the speed.
 
     `service_ms` is the mean, `typical_ms` the geometric mean, which a few stragglers do not move.
-    `wait_by_class` holds the expected wait in ms of the classes that have calls waiting.
+    `wait_by_class` holds the expected wait in ms of the classes that have calls waiting,
+    `run_by_class` the usual run time in ms of each class at the usual speed. `slowness` tells how
+    many times longer work takes now, by a report of the upstream that is `slowness_age_ms` old; 0
+    where it does not report it. `drag` is what the latest calls took beyond that.
     """
 
     running: int
@@ -21,6 +24,10 @@
     service_ms: float
     typical_ms: float = 0.0
     wait_by_class: dict[str, float] = field(default_factory=dict)
+    run_by_class: dict[str, float] = field(default_factory=dict)
+    slowness: float = 0.0
+    slowness_age_ms: float = 0.0
+    drag: float = 1.0
 
     def wait_ms(self, class_name: str, extra: float = 0.0) -> float:
         """Expected wait for a slot, in ms, with `extra` calls ahead that the report lacks."""
@@ -33,31 +40,54 @@
         return (self.running + self.queued + extra) / max(1, self.slots)
 
     def to_header(self) -> bytes:
-        """The form sent with an answer: five numbers and the waits, between semicolons."""
-        waits = ",".join(f"{name}={ms:.1f}" for name, ms in self.wait_by_class.items())
-        return b"%d;%d;%d;%.2f;%.2f;%s" % (
+        """The form sent with an answer: numbers, then times by class, between semicolons."""
+        return b"%d;%d;%d;%.1f;%.1f;%s;%s;%.2f,%.0f;%.2f" % (
             self.running,
             self.queued,
             self.slots,
             self.service_ms,
             self.typical_ms,
-            waits.encode(),
+            _format_times(self.wait_by_class),
+            _format_times(self.run_by_class),
+            self.slowness,
+            self.slowness_age_ms,
+            self.drag,
         )
 
 
+def _format_times(times: dict[str, float]) -> bytes:
+    return ",".join(f"{name}={ms:.0f}" for name, ms in times.items()).encode()
+
+
+def _parse_times(text: str) -> dict[str, float]:
+    times = {}
+    for part in text.split(",") if text else ():
+        name, _, value = part.partition("=")
+        times[name] = float(value)
+    return times
+
+
 def parse_load(value: bytes | None) -> Load | None:
     """Read the form that `Load.to_header` writes; `None` where it is not one."""
     if value is None:
         return None
-    fields = value.split(b";", FIELD_COUNT - 1)
+    fields = value.decode("latin-1").split(";")
     if len(fields) != FIELD_COUNT:
         return None
     try:
         running, queued, slots = (int(part) for part in fields[:3])
-        waits = {}
-        for part in fields[5].decode("latin-1").split(",") if fields[5] else ():
-            name, _, wait_ms = part.partition("=")
-            waits[name] = float(wait_ms)
-        return Load(running, queued, slots, float(fields[3]), float(fields[4]), waits)
+        slowness, _, age_ms = fields[7].partition(",")
+        return Load(
+            running,
+            queued,
+            slots,
+            float(fields[3]),
+            float(fields[4]),
+            _parse_times(fields[5]),
+            _parse_times(fields[6]),
+            float(slowness),
+            float(age_ms),
+            float(fields[8]),
+        )
     except ValueError:
         return None
--- a/foxtailproxy/logs.py
+++ b/foxtailproxy/logs.py
@@ -1,20 +1,123 @@
-"""Logs: one line of key=value pairs for each event."""
+"""Logs: one line of key=value pairs for each event, bounded and without blocking.
+
+Lines go to a stream that may be slow or stuck. What it does not take at once waits in a small
+buffer; when that is full, or an event comes too often, lines are dropped and counted, and the
+count is logged.
+"""
 
 from __future__ import annotations
 
+import os
 import sys
+import time
+from collections import deque
+from typing import Any
 
 import structlog
 
+BUFFER_LINES = 1000
+"""Lines that wait for a stream that does not take them."""
+
+LINES_PER_SECOND = 400
+"""Lines of one event in a second; beyond it, one in `SAMPLE` is written. At the target size a node
+ends some 50 calls a second."""
+
+SAMPLE = 20
+
+DROPPED_EVENT = "log_dropped"
+
+
+class LogStream:
+    """Writes lines to a file descriptor without waiting for it."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._waiting: deque[bytes] = deque()
+        os.set_blocking(descriptor, False)
+
+    def msg(self, message: str) -> None:
+        """Write one line, or keep it for later, or drop it."""
+        line = message.encode("utf-8", "replace") + b"\n"
+        if len(self._waiting) >= BUFFER_LINES:
+            self.dropped += 1
+        else:
+            self._waiting.append(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what waits, as far as the stream takes it."""
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the stream any more; there is no other place for the lines.
+                self.dropped += len(self._waiting)
+                self._waiting.clear()
+                return
+            if written < len(line):
+                self._waiting[0] = line[written:]
+                return
+            self._waiting.popleft()
+
+    debug = info = warning = warn = error = critical = exception = fatal = log = msg
+
+
+class EventSampler:
+    """A processor that drops lines of an event that comes too often, and tells how many."""
+
+    def __init__(self, stream: LogStream) -> None:
+        self._stream = stream
+        self._second = 0
+        self._count_by_event: dict[str, int] = {}
+        self._dropped = 0
+
+    def __call__(self, logger: Any, method: str, event_dict: Any) -> Any:
+        """Pass a line on, or raise `DropEvent`."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._count_by_event.clear()
+            event_dict = self._with_dropped(event_dict)
+        event = event_dict["event"]
+        count = self._count_by_event.get(event, 0) + 1
+        self._count_by_event[event] = count
+        if count > LINES_PER_SECOND and count % SAMPLE:
+            self._dropped += 1
+            raise structlog.DropEvent
+        return event_dict
+
+    def _with_dropped(self, event_dict: Any) -> Any:
+        dropped, self._dropped = self._dropped + self._stream.dropped, 0
+        self._stream.dropped = 0
+        if dropped:
+            event_dict[DROPPED_EVENT] = dropped
+        return event_dict
+
+
+def configure_logs() -> LogStream:
+    """Write the log lines of a node to standard output."""
+    stream = LogStream(sys.stdout.fileno())
+    _configure(lambda *_: stream, [EventSampler(stream)])
+    return stream
+
+
+def configure_client_logs() -> None:
+    """Write the log lines of a command to standard error, apart from what it prints."""
+    _configure(structlog.PrintLoggerFactory(file=sys.stderr), [])
+
 
-def configure_logs() -> None:
-    """Write log lines to standard error."""
+def _configure(factory: Any, first: list[Any]) -> None:
     structlog.configure(
         processors=[
+            *first,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
         ],
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=True,
     )
--- a/foxtailproxy/membership.py
+++ b/foxtailproxy/membership.py
@@ -37,7 +37,8 @@
     """All known nodes; `me` is this node's own record.
 
     `on_change` is called with each new record that was taken in, `on_self_change` when this node's
-    own record had to be raised above what others say of it.
+    own record had to be raised above what others say of it, `on_earlier_self` with records of an
+    earlier process of this node.
     """
 
     def __init__(
@@ -46,12 +47,14 @@
         me: MemberRecord,
         on_change: Callable[[MemberRecord], None],
         on_self_change: Callable[[], None],
+        on_earlier_self: Callable[[MemberRecord], None] = lambda record: None,
     ) -> None:
         self.me = me
         self.by_id: dict[str, MemberRecord] = {me.node_id: me}
         self._clock = clock
         self._on_change = on_change
         self._on_self_change = on_self_change
+        self._on_earlier_self = on_earlier_self
         self._hash_by_data_center: dict[str, int] = {}
         self._dead_since: dict[str, float] = {}
         self._add_to_hash(me)
@@ -131,7 +134,9 @@
         ]
 
     def _refute(self, record: MemberRecord) -> None:
-        if record.boot_id == self.me.boot_id and rank(record) <= rank(self.me):
+        if record.boot_id != self.me.boot_id:
+            self._on_earlier_self(record)
+        elif rank(record) <= rank(self.me):
             return
         if record.incarnation < self.me.incarnation:
             return
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -58,6 +58,30 @@
     """
     Changes each time the node's process starts.
     """
+    instance: Annotated[str, Meta(description="Name of the upstream's process.", max_length=64)] = (
+        ""
+    )
+    """
+    Name of the upstream's process.
+    """
+    born_ms: Annotated[
+        int,
+        Meta(
+            description="Start of the upstream's process, in milliseconds of the time of day.", ge=0
+        ),
+    ] = 0
+    """
+    Start of the upstream's process, in milliseconds of the time of day.
+    """
+    target_left: Annotated[
+        bool,
+        Meta(
+            description="That process said that it takes no new work; holds until another one is announced."
+        ),
+    ] = False
+    """
+    That process said that it takes no new work; holds until another one is announced.
+    """
 
 
 class PacketKind(StrEnum):
@@ -137,6 +161,40 @@
     """
     Changes each time the upstream's process starts.
     """
+    born_ms: Annotated[
+        int,
+        Meta(
+            description="Start of the upstream's process, in milliseconds of the time of day; 0 where it is not known.",
+            ge=0,
+        ),
+    ] = 0
+    """
+    Start of the upstream's process, in milliseconds of the time of day; 0 where it is not known.
+    """
+    sequence: Annotated[
+        int,
+        Meta(
+            description="Grows with each announcement of one process, so that a late one is known.",
+            ge=0,
+        ),
+    ] = 0
+    """
+    Grows with each announcement of one process, so that a late one is known.
+    """
+    leaving: Annotated[bool, Meta(description="The upstream takes no new work.")] = False
+    """
+    The upstream takes no new work.
+    """
+    cold_ms: Annotated[
+        int,
+        Meta(
+            description="Time for which the upstream is still slow after its start, in milliseconds.",
+            ge=0,
+        ),
+    ] = 0
+    """
+    Time for which the upstream is still slow after its start, in milliseconds.
+    """
 
 
 class ClaimRecord(Struct):
@@ -166,29 +224,8 @@
     """
 
 
-class StoredObject(Struct):
-    """
-    One object of the platform.
-    """
-
-    name: str
-    version: Annotated[int, Meta(ge=1)]
-    value: str
-
-
-class ObjectListing(Struct):
-    """
-    Objects under a prefix and the revision they were read at.
-    """
-
-    revision: Annotated[int, Meta(ge=0)]
-    objects: list[StoredObject]
-
-
 class Messages(Struct):
     packet: GossipPacket
     claim: ClaimRecord
     announcement: Announcement
     config: ConfigObject
-    object: StoredObject
-    listing: ObjectListing
--- a/foxtailproxy/models/rules.py
+++ b/foxtailproxy/models/rules.py
@@ -71,6 +71,50 @@
     """
     Time that a request stays quarantined, in milliseconds.
     """
+    header_bytes: Annotated[
+        int,
+        Meta(
+            description="Largest request head, in bytes; 0 leaves it to the node's settings.",
+            ge=0,
+            le=1048576,
+        ),
+    ] = 0
+    """
+    Largest request head, in bytes; 0 leaves it to the node's settings.
+    """
+    body_bytes: Annotated[
+        int,
+        Meta(
+            description="Largest request body, in bytes; 0 leaves it to the node's settings.",
+            ge=0,
+            le=1073741824,
+        ),
+    ] = 0
+    """
+    Largest request body, in bytes; 0 leaves it to the node's settings.
+    """
+    header_time_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time to receive a request head, in milliseconds; 0 leaves it to the node's settings.",
+            ge=0,
+            le=600000,
+        ),
+    ] = 0
+    """
+    Longest time to receive a request head, in milliseconds; 0 leaves it to the node's settings.
+    """
+    idle_time_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time a connection may stay idle, in milliseconds; 0 leaves it to the node's settings.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 0
+    """
+    Longest time a connection may stay idle, in milliseconds; 0 leaves it to the node's settings.
+    """
 
 
 class ServiceRule(Struct):
@@ -86,10 +130,12 @@
     """
     hosts: Annotated[
         list[str],
-        Meta(description="Values of the Host header that name this service.", min_length=1),
-    ]
+        Meta(
+            description="Values of the Host header that name this service; none where only routes lead to it."
+        ),
+    ] = field(default_factory=list)
     """
-    Values of the Host header that name this service.
+    Values of the Host header that name this service; none where only routes lead to it.
     """
     tenant_header: Annotated[str, Meta(description="Request header that names the tenant.")] = (
         "x-tenant"
@@ -141,6 +187,16 @@
     """
     Extra expected wait at the node's own target that is accepted before a call goes to a peer, in milliseconds.
     """
+    health_path: Annotated[
+        str,
+        Meta(
+            description="Path of the health check of its upstreams; empty leaves it to the node's settings.",
+            pattern="^(/.*)?$",
+        ),
+    ] = ""
+    """
+    Path of the health check of its upstreams; empty leaves it to the node's settings.
+    """
 
 
 Method: TypeAlias = Annotated[str, Meta(pattern="^[A-Z]+$")]
@@ -230,9 +286,116 @@
     """
     Whether requests of the class are long work from the start.
     """
+    objective_ms: Annotated[
+        int,
+        Meta(
+            description="Time within which an answer is worth most, in milliseconds; 0 for none.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 0
+    """
+    Time within which an answer is worth most, in milliseconds; 0 for none.
+    """
+
+
+Service: TypeAlias = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}(=[0-9]{1,6})?$")]
+
+
+class RouteRule(Struct):
+    """
+    Requests of one host and path, and the services that share them; it goes before the hosts of services.
+    """
+
+    name: Annotated[
+        str, Meta(description="Name of the class.", pattern="^[a-z0-9][a-z0-9-]{0,62}$")
+    ]
+    """
+    Name of the class.
+    """
+    host: Annotated[str, Meta(description="Value of the Host header.", min_length=1)]
+    """
+    Value of the Host header.
+    """
+    services: Annotated[
+        list[Service],
+        Meta(
+            description="Services that serve the route, each with its weight, as NAME=WEIGHT; the weight is 1 where none is given.",
+            min_length=1,
+        ),
+    ]
+    """
+    Services that serve the route, each with its weight, as NAME=WEIGHT; the weight is 1 where none is given.
+    """
+    path_prefix: Annotated[
+        str,
+        Meta(description="Start of the paths of the route; the longest match wins.", pattern="^/"),
+    ] = "/"
+    """
+    Start of the paths of the route; the longest match wins.
+    """
+    idempotent: Annotated[bool, Meta(description="Whether a request may run more than once.")] = (
+        False
+    )
+    """
+    Whether a request may run more than once.
+    """
+    attempts: Annotated[
+        int, Meta(description="Most targets that one request is sent to.", ge=1, le=10)
+    ] = 3
+    """
+    Most targets that one request is sent to.
+    """
+    weight: Annotated[
+        int, Meta(description="Share of a busy target relative to the other classes.", ge=1, le=100)
+    ] = 1
+    """
+    Share of a busy target relative to the other classes.
+    """
+    priority: Annotated[
+        int, Meta(description="Importance; the lowest is shed first.", ge=0, le=9)
+    ] = 5
+    """
+    Importance; the lowest is shed first.
+    """
+    deadline_ms: Annotated[
+        int, Meta(description="Longest time for the whole call, in milliseconds.", ge=1, le=3600000)
+    ] = 5000
+    """
+    Longest time for the whole call, in milliseconds.
+    """
+    hold_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time that a request may be held in a queue, in milliseconds.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 1000
+    """
+    Longest time that a request may be held in a queue, in milliseconds.
+    """
+    queue: Annotated[
+        int, Meta(description="Most requests of the class held at one target.", ge=0, le=100000)
+    ] = 100
+    """
+    Most requests of the class held at one target.
+    """
+    objective_ms: Annotated[
+        int,
+        Meta(
+            description="Time within which an answer is worth most, in milliseconds; 0 for none.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 0
+    """
+    Time within which an answer is worth most, in milliseconds; 0 for none.
+    """
 
 
 class Rules(Struct):
     fleet: FleetRule
     services: list[ServiceRule]
     classes: list[ClassRule]
+    routes: list[RouteRule] = field(default_factory=list)
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -38,10 +38,6 @@
     """
     IP address that this node listens on and that peers reach it at.
     """
-    caller_port: Annotated[int, Meta(description="TCP port for callers.", ge=1, le=65535)]
-    """
-    TCP port for callers.
-    """
     peer_port: Annotated[
         int, Meta(description="TCP port for calls from other nodes.", ge=1, le=65535)
     ]
@@ -65,10 +61,46 @@
     """
     UDP port for membership messages.
     """
+    caller_address: Annotated[
+        str,
+        Meta(description="IP address and port for callers, as ip:port; in place of caller_port."),
+    ] = ""
+    """
+    IP address and port for callers, as ip:port; in place of caller_port.
+    """
+    caller_port: Annotated[
+        int,
+        Meta(
+            description="TCP port for callers, on `address`; 0 where caller_address is given.",
+            ge=0,
+            le=65535,
+        ),
+    ] = 0
+    """
+    TCP port for callers, on `address`; 0 where caller_address is given.
+    """
     log_calls: Annotated[bool, Meta(description="Write one log line for each call.")] = True
     """
     Write one log line for each call.
     """
+    ready_address: Annotated[
+        str,
+        Meta(
+            description="IP address and port that tells the platform whether this node is ready, as ip:port; empty for none."
+        ),
+    ] = ""
+    """
+    IP address and port that tells the platform whether this node is ready, as ip:port; empty for none.
+    """
+    control_address: Annotated[
+        str,
+        Meta(
+            description="IP address and port for the upstream's heartbeats in the platform's form, as ip:port; empty for none."
+        ),
+    ] = ""
+    """
+    IP address and port for the upstream's heartbeats in the platform's form, as ip:port; empty for none.
+    """
 
 
 class PlatformSection(Struct):
@@ -89,6 +121,15 @@
     """
     Longest wait for one answer, in milliseconds.
     """
+    adapter: Annotated[
+        bool,
+        Meta(
+            description="Speak the platform's interface with callers and upstreams, and take the configuration in its form."
+        ),
+    ] = False
+    """
+    Speak the platform's interface with callers and upstreams, and take the configuration in its form.
+    """
 
 
 class PeersSection(Struct):
@@ -219,6 +260,133 @@
     """
     Longest time that a shutdown waits for calls in flight, in milliseconds.
     """
+    stop_grace_s: Annotated[
+        float,
+        Meta(
+            description="Time after SIGTERM at which this process is killed, in seconds; a shutdown ends before it. 0 where it is not.",
+            ge=0.0,
+            le=3600.0,
+        ),
+    ] = 0
+    """
+    Time after SIGTERM at which this process is killed, in seconds; a shutdown ends before it. 0 where it is not.
+    """
+
+
+class UpstreamSection(Struct):
+    """
+    The upstream beside this node.
+    """
+
+    service: Annotated[
+        str,
+        Meta(
+            description="Service of the upstream, which is also the caller's service of all requests that begin here."
+        ),
+    ] = ""
+    """
+    Service of the upstream, which is also the caller's service of all requests that begin here.
+    """
+    address: Annotated[
+        str,
+        Meta(
+            description="IP address and port of the upstream, as ip:port; with it a node that restarts finds an upstream that still runs."
+        ),
+    ] = ""
+    """
+    IP address and port of the upstream, as ip:port; with it a node that restarts finds an upstream that still runs.
+    """
+    health_path: Annotated[
+        str,
+        Meta(
+            description="Path of the upstream's health check, until a configuration names another.",
+            pattern="^/",
+        ),
+    ] = "/healthz"
+    """
+    Path of the upstream's health check, until a configuration names another.
+    """
+    slot_percent: Annotated[
+        int,
+        Meta(
+            description="Share of the announced slots that calls may use, as a percentage; an upstream that slows down when nearly full wants less than 100.",
+            ge=1,
+            le=100,
+        ),
+    ] = 100
+    """
+    Share of the announced slots that calls may use, as a percentage; an upstream that slows down when nearly full wants less than 100.
+    """
+    reuse_idle_ms: Annotated[
+        int,
+        Meta(
+            description="Idle time up to which an open connection is used for a call that may not run again, in milliseconds; 0 opens a new one for each. The upstream may close an idle connection as the call is sent, whose outcome is then unknown.",
+            ge=0,
+            le=60000,
+        ),
+    ] = 0
+    """
+    Idle time up to which an open connection is used for a call that may not run again, in milliseconds; 0 opens a new one for each. The upstream may close an idle connection as the call is sent, whose outcome is then unknown.
+    """
+
+
+class BudgetsSection(Struct):
+    """
+    Budgets that all nodes share.
+    """
+
+    retry_ratio: Annotated[
+        float,
+        Meta(
+            description="Calls sent to a further target, as a share of the calls of a service in one window.",
+            ge=0.0,
+            le=1.0,
+        ),
+    ] = 0.1
+    """
+    Calls sent to a further target, as a share of the calls of a service in one window.
+    """
+    retry_slack: Annotated[
+        int,
+        Meta(
+            description="Calls sent to a further target that are allowed in one window beside that share, for all nodes together.",
+            ge=0,
+            le=1000000,
+        ),
+    ] = 0
+    """
+    Calls sent to a further target that are allowed in one window beside that share, for all nodes together.
+    """
+    retry_window_s: Annotated[
+        int, Meta(description="Length of the window, in seconds.", ge=1, le=3600)
+    ] = 10
+    """
+    Length of the window, in seconds.
+    """
+
+
+class LinksSection(Struct):
+    """
+    What traffic between instances costs, in requests (the worth of one answer in time).
+    """
+
+    data_center_cost_per_mb: Annotated[
+        float,
+        Meta(
+            description="Cost of a megabyte to another data centre of the region.",
+            ge=0.0,
+            le=100000.0,
+        ),
+    ] = 0
+    """
+    Cost of a megabyte to another data centre of the region.
+    """
+    region_cost_per_mb: Annotated[
+        float, Meta(description="Cost of a megabyte to another region.", ge=0.0, le=100000.0)
+    ] = 0
+    """
+    Cost of a megabyte to another region.
+    """
 
 
 class NodeSettings(Struct):
@@ -226,3 +394,6 @@
     platform: PlatformSection
     peers: PeersSection
     limits: LimitsSection
+    upstream: UpstreamSection
+    budgets: BudgetsSection
+    links: LinksSection
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -9,12 +9,15 @@
 
 import msgspec
 import structlog
+from msgspec.structs import replace
 from twisted.internet.defer import DeferredList, ensureDeferred, maybeDeferred
 
 from foxtailproxy.call import new_id
 from foxtailproxy.claims import Claims
 from foxtailproxy.clock import Clock
-from foxtailproxy.config_sync import ConfigSync
+from foxtailproxy.config.settings import split_address
+from foxtailproxy.config_sync import ConfigSync, OwnConfigSource
+from foxtailproxy.dialect import OwnDialect
 from foxtailproxy.entry import Entry
 from foxtailproxy.gossip import Gossip
 from foxtailproxy.http.server import ServerFactory, ServerLimits
@@ -25,9 +28,13 @@
 from foxtailproxy.models.rules import FleetRule
 from foxtailproxy.peer_client import PeerClient
 from foxtailproxy.peer_server import PeerServer
-from foxtailproxy.platform_client import PlatformClient
+from foxtailproxy.platform.configuration import PlatformConfigSource
+from foxtailproxy.platform.dialect import PlatformDialect
+from foxtailproxy.platform.store_client import StoreClient
 from foxtailproxy.quarantine import Quarantine
+from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.routing import Router
+from foxtailproxy.store import Conflict
 from foxtailproxy.target import Target
 from foxtailproxy.token_bucket import TokenBucket
 
@@ -37,11 +44,12 @@
 
     from foxtailproxy.call import Call
     from foxtailproxy.config.rules import RuleBook
+    from foxtailproxy.models.messages import Announcement
     from foxtailproxy.models.settings import NodeSettings
 
 log = structlog.get_logger()
 
-MEMBER_PREFIX = "members/"
+MEMBER_KIND = "members"
 
 REFRESH_MS = 60_000
 """Time between two writes of the node's own record to the platform."""
@@ -54,6 +62,11 @@
 
 DRAIN_CHECK_MS = 50
 
+MS_PER_SECOND = 1000
+
+STOP_RESERVE_MS = 400
+"""Time before the end of the grace period at which a shutdown no longer waits for calls."""
+
 CRASH_REPORTS = 8
 """Crash reports sent along with a comparison."""
 
@@ -83,21 +96,37 @@
         limits = self.settings.limits
         fleet = FleetRule()
         clock = self.clock
-        self.table = MemberTable(clock, self._own_record(), self._member_changed, self._spread_me)
+        self.table = MemberTable(
+            clock, self._own_record(), self._member_changed, self._spread_me, self._seen_before
+        )
         self.paid_calls = TokenBucket(clock, fleet.paid_call_bytes_per_s)
-        self.target = Target(clock, reactor, self)
+        adapted = self.settings.platform.adapter
+        upstream = self.settings.upstream
+        dialect = PlatformDialect(upstream.service) if adapted else OwnDialect()
+        self.target = Target(clock, reactor, self, dialect, upstream)
         self.router = Router(
             clock,
             self.table.me.node_id,
             self.table.me.region,
+            self.table.me.data_center,
             self.target,
             self.paid_calls.spend,
             rng,
+            self.settings.links,
         )
         self.peers = PeerClient(clock, reactor, limits, self.router.observe)
-        self.platform = PlatformClient(reactor, self.settings.platform)
+        self.store = StoreClient(reactor, self.settings.platform)
         self.config = ConfigSync(
-            clock, self.platform, self.peers, self.table, rng, self._config_adopted
+            clock,
+            self.store,
+            self.peers,
+            self.table,
+            rng,
+            self._config_adopted,
+            PlatformConfigSource() if adapted else OwnConfigSource(),
+        )
+        self.retries = RetryBudgets(
+            clock, self._retry_limits(), lambda: len(self.table.others()) + 1
         )
         self.gossip = Gossip(
             clock,
@@ -107,7 +136,7 @@
             TokenBucket(clock, fleet.measure_bytes_per_s),
             TokenBucket(clock, fleet.paid_measure_bytes_per_s),
         )
-        self.claims = Claims(clock, limits, self.platform, self.peers, self.table.me)
+        self.claims = Claims(clock, limits, self.store, self.peers, self.table.me)
         self.entry = Entry(
             clock,
             limits,
@@ -118,9 +147,13 @@
             self.claims,
             self.quarantine,
             self.metrics,
+            dialect,
+            self.retries,
             self.settings.node.log_calls,
         )
-        self.peer_server = PeerServer(clock, limits, self.target, self.config, self.claims.runs)
+        self.peer_server = PeerServer(
+            clock, limits, self.target, self.config, self.claims.runs, self.table.me.boot_id
+        )
         bounds = ServerLimits(
             limits.header_bytes, limits.body_bytes, limits.header_time_ms, limits.idle_time_ms
         )
@@ -156,7 +189,9 @@
             listen(node.admin_port, AdminSite(self).site(), interface=node.address),
             self._reactor.listenUDP(node.gossip_port, self.gossip.socket, interface=node.address),
         ]
-        self._caller_port = listen(node.caller_port, self._caller_factory, interface=node.address)
+        host, port = split_address(node.caller_address, node.address, node.caller_port)
+        self._caller_port = listen(port, self._caller_factory, interface=host)
+        self._listen_for_platform()
         self.target.start()
         self.peers.start()
         self.peer_server.start()
@@ -165,17 +200,54 @@
         self._peer_factory.start()
         self._loops.append(self.clock.repeat(1000, self.claims.runs.sweep))
         self.lifecycle.started()
+        ensureDeferred(self._find_upstream())  # type: ignore[arg-type]
         ensureDeferred(self._join())  # type: ignore[arg-type]
         gc.collect()
         gc.freeze()
 
+    def _listen_for_platform(self) -> None:
+        """Open the ports for the platform's own calls, where the settings have them."""
+        node = self.settings.node
+        if not node.control_address and not node.ready_address:
+            return
+        from foxtailproxy.platform.instances import ControlSite, ReadySite
+
+        sites = {
+            node.control_address: ControlSite(self).site(),
+            node.ready_address: ReadySite(self.ready).site(),
+        }
+        for address, site in sites.items():
+            if address:
+                host, port = split_address(address)
+                self._ports.append(self._reactor.listenTCP(port, site, interface=host))
+
+    def ready(self) -> bool:
+        """Whether requests are served: a configuration is in force and the node is not stopping."""
+        return self.core.name == "serving" and self.config.book is not None
+
+    def announced(self, announcement: Announcement) -> None:
+        """The upstream serves, or takes no new work."""
+        if self.core.name == "serving" or announcement.leaving:
+            self.target.announce(announcement)
+
+    def left(self, instance: str, born_ms: int) -> None:
+        """The upstream process takes no new work."""
+        self.target.process_left(instance, born_ms)
+
+    async def _find_upstream(self) -> None:
+        """Look for an upstream that ran before this node started."""
+        upstream = self.settings.upstream
+        if upstream.address and upstream.service:
+            host, port = split_address(upstream.address)
+            await self.target.discover(upstream.service, host, port, upstream.health_path)
+
     async def _join(self) -> None:
         """Learn of the other nodes and the configuration, from the platform or from peers."""
         while self.core.name == "serving":
             self._compare_with_seeds()
             # Registered first, so that of two nodes that start at once one sees the other.
             await self._register()
-            listing = await self.platform.list_objects(MEMBER_PREFIX)
+            listing = await self.store.list_objects(MEMBER_KIND)
             if listing.is_ok() and await self.config.read_platform():
                 for stored in listing.ok.objects:
                     self._take_registered(stored.value)
@@ -206,12 +278,49 @@
                 registered = await self._register()
 
     async def _register(self) -> bool:
-        """Write this node's record to the platform; returns whether it was accepted."""
-        self._registered = True
-        value = msgspec.json.encode(self.table.me).decode()
-        written = await self.platform.put(MEMBER_PREFIX + self.table.me.node_id, value)
+        """Write this node's record to the store; returns whether it was accepted.
+
+        The first write of a process meets the record of the one before it, if there was one.
+        """
+        path = f"{MEMBER_KIND}/{self.table.me.node_id}"
+        first, self._registered = not self._registered, True
+        if first:
+            created = await self.store.create(path, self._own_value())
+            if created.is_ok():
+                return True
+            if isinstance(created.error, Conflict) and created.error.current is not None:
+                self._take_registered(created.error.current.value)
+        written = await self.store.put(path, self._own_value())
         return written.is_ok()
 
+    def _own_value(self) -> str:
+        return msgspec.json.encode(self.table.me).decode()
+
+    def _seen_before(self, record: MemberRecord) -> None:
+        """Somebody knows a record of an earlier process of this node."""
+        if record.target_left and record.instance:
+            self.target.process_left(record.instance, record.born_ms)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take over the settings that may change while the node runs; the others are logged."""
+        fixed = ("node", "platform", "upstream")
+        changed = [key for key in settings.__struct_fields__ if key not in fixed]
+        changed = [key for key in changed if getattr(settings, key) != getattr(self.settings, key)]
+        ignored = [key for key in fixed if getattr(settings, key) != getattr(self.settings, key)]
+        log.info("settings_reloaded", changed=",".join(changed), needs_restart=",".join(ignored))
+        self.settings = replace(settings, **{key: getattr(self.settings, key) for key in fixed})
+        self.router.links = settings.links
+        if self.settings.platform.adapter:
+            self.retries.set_limits(self._retry_limits())
+        if self.config.book is not None:
+            self._config_adopted(self.config.book)
+
+    def _retry_limits(self) -> RetryLimits:
+        budgets = self.settings.budgets
+        return RetryLimits(
+            budgets.retry_ratio, budgets.retry_slack, budgets.retry_window_s * MS_PER_SECOND
+        )
+
     def drain(self) -> Deferred[None]:
         """Take no new work, finish what runs, then close; fires once closed."""
         if self.core.name in ("draining", "closed"):
@@ -221,9 +330,9 @@
         self.target.leave()
         self._spread_me(state=MemberState.leaving)
         self._caller_factory.close_after_answers()
-        if self._registered:
-            name = MEMBER_PREFIX + self.table.me.node_id
-            ensureDeferred(self.platform.delete(name, None))  # type: ignore[arg-type]
+        if self._registered and not self.target.process_gone:
+            path = f"{MEMBER_KIND}/{self.table.me.node_id}"
+            ensureDeferred(self.store.delete(path, None))  # type: ignore[arg-type]
         self.clock.call_later(self.settings.limits.leaving_notice_ms, self._stop_accepting)
         return self.core.closed
 
@@ -234,13 +343,19 @@
 
     def _close_when_drained(self) -> None:
         waited = self.clock.now_ms() - self._drain_started_ms
-        if not self._idle() and waited < self.settings.limits.drain_ms:
+        if not self._idle() and waited < self._drain_limit_ms():
             self.clock.call_later(DRAIN_CHECK_MS, self._close_when_drained)
             return
         if not self._idle():
             log.error("drain_timeout", pending=self.entry.pending)
         ensureDeferred(self._close())  # type: ignore[arg-type]
 
+    def _drain_limit_ms(self) -> float:
+        limits = self.settings.limits
+        if not limits.stop_grace_s:
+            return limits.drain_ms
+        return min(limits.drain_ms, limits.stop_grace_s * MS_PER_SECOND - STOP_RESERVE_MS)
+
     def _idle(self) -> bool:
         responding = any(c.busy for c in self._caller_factory.connections)
         return (
@@ -266,7 +381,7 @@
         self._peer_factory.close()
         self.peers.close()
         self.target.close()
-        await self.platform.close()
+        await self.store.close()
         self.lifecycle.drained()
 
     # What the parts tell the node
@@ -278,7 +393,13 @@
         self._spread_me(
             service=announcement.service if announcement and serving else "",
             slots=announcement.slots if announcement and serving else 0,
+            instance=announcement.instance if announcement else "",
+            born_ms=announcement.born_ms if announcement else 0,
+            target_left=self.target.process_gone,
         )
+        if self.target.process_gone and self._registered:
+            # A process that takes this one's place is to know of it, also when all nodes restart.
+            ensureDeferred(self._register())  # type: ignore[arg-type]
 
     def target_crashed(self, calls: list[Call]) -> None:
         """The upstream died while it ran `calls`: find out which of them did it."""
@@ -315,11 +436,28 @@
         return self.config.mark()
 
     def _config_adopted(self, book: RuleBook) -> None:
+        fleet = book.fleet
+        if not self.settings.platform.adapter:
+            self.retries.set_limits(RetryLimits(fleet.retry_percent / 100))
+        upstream = self.settings.upstream
+        service = book.service_by_name.get(upstream.service)
+        self.target.health_path = (service and service.health_path) or upstream.health_path
+        self._caller_factory.set_limits(self._caller_limits(fleet))
         self.paid_calls.set_rate(book.fleet.paid_call_bytes_per_s)
         self.gossip.socket.budget.set_rate(book.fleet.measure_bytes_per_s)
         self.gossip.socket.paid_budget.set_rate(book.fleet.paid_measure_bytes_per_s)
         self.gossip.spread_config()
 
+    def _caller_limits(self, fleet: FleetRule) -> ServerLimits:
+        """Bounds for callers: those of the configuration, else those of the settings."""
+        limits = self.settings.limits
+        return ServerLimits(
+            fleet.header_bytes or limits.header_bytes,
+            fleet.body_bytes or limits.body_bytes,
+            fleet.header_time_ms or limits.header_time_ms,
+            fleet.idle_time_ms or limits.idle_time_ms,
+        )
+
     def _member_changed(self, record: MemberRecord) -> None:
         self.router.member_changed(record)
         if record.state is MemberState.dead:
--- a/foxtailproxy/outcome.py
+++ b/foxtailproxy/outcome.py
@@ -30,6 +30,7 @@
     SEALED = "sealed"
     UNREACHABLE = "unreachable"
     UPSTREAM_REFUSED = "upstream-refused"
+    FASTER_ELSEWHERE = "faster-elsewhere"
     QUARANTINED = "quarantined"
     PLATFORM_DOWN = "platform-down"
     KEY_REUSED = "key-reused"
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -4,6 +4,7 @@
 
 import zlib
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
 import msgspec
 import structlog
@@ -16,7 +17,7 @@
 from foxtailproxy.load import parse_load
 from foxtailproxy.models.messages import ConfigObject
 from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
-from foxtailproxy.wire import DEADLINE, LOAD, call_headers, parse_failure, without_own
+from foxtailproxy.wire import BOOT, DEADLINE, LOAD, call_headers, parse_failure, without_own
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,7 +70,7 @@
         self._limits = limits
         self._on_load = on_load
         self._pool_by_address: dict[tuple[str, int], ConnectionPool] = {}
-        self._by_attempt: dict[str, ClientConnection] = {}
+        self._by_send: dict[str, ClientConnection] = {}
         self._longest_silence: dict[ClientConnection, float] = {}
         self._loop: LoopingCall | None = None
 
@@ -99,7 +100,7 @@
         except ConnectFailed:
             return Error(NotRun(NotRunReason.UNREACHABLE))
         try:
-            self._by_attempt[call.attempt_id] = connection
+            self._by_send[call.send_id] = connection
             return await self._exchange(connection, head, call.body(), member.node_id)
         except ExchangeCancelled:
             return Error(Unknown(UnknownReason.CANCELLED))
@@ -113,11 +114,11 @@
             )
             return await self._recover(call, member)
         finally:
-            self._by_attempt.pop(call.attempt_id, None)
+            self._by_send.pop(call.send_id, None)
 
-    def cancel(self, attempt_id: str) -> None:
+    def cancel(self, send_id: str) -> None:
         """The caller of an idempotent call does not want the answer any more."""
-        connection = self._by_attempt.get(attempt_id)
+        connection = self._by_send.get(send_id)
         if connection is not None:
             connection.fail(ExchangeCancelled())
 
@@ -145,19 +146,31 @@
 
     async def _recover(self, call: Call, member: MemberRecord) -> Outcome:
         """Ask on new connections what became of a call; the node seals one it has not seen."""
-        path = ATTEMPT_PATH + call.attempt_id.encode()
+        path = ATTEMPT_PATH + quote(call.send_id).encode()
+        boot = [(BOOT, member.boot_id.encode())]
         for _ in range(1 if call.rule.idempotent else RECOVERY_TRIES):
             if call.remaining_ms(self._clock) <= 0:
                 break
             try:
-                return await self._ask(path, call, member.address, member.peer_port, member.node_id)
+                return await self._ask(
+                    path, call, member.address, member.peer_port, member.node_id, boot
+                )
             except HttpError:
                 await self._clock.sleep(RECOVERY_PAUSE_MS)
         return Error(Unknown(UnknownReason.PEER_LOST))
 
-    async def _ask(self, path: bytes, call: Call, address: str, port: int, peer: str) -> Outcome:
+    async def _ask(
+        self,
+        path: bytes,
+        call: Call,
+        address: str,
+        port: int,
+        peer: str,
+        extra: HeaderList | None = None,
+    ) -> Outcome:
         remaining = b"%d" % max(0, call.remaining_ms(self._clock))
         head = RequestHead(b"POST", path, [(b"host", b"node"), (DEADLINE, remaining)])
+        head.headers += extra or []
         connection = await self._pool(address, port).acquire(fresh=True)
         outcome = await self._exchange(connection, head, BodyStream.of(b""), peer)
         not_run = outcome.is_error() and isinstance(outcome.error, NotRun)
--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -4,6 +4,7 @@
 
 import zlib
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 import msgspec
 from expression import Error
@@ -17,14 +18,17 @@
 from foxtailproxy.runs import RunTable, SharedRun
 from foxtailproxy.wire import (
     ATTEMPT,
+    BOOT,
     CRASHED,
     DEADLINE,
     DEPTH,
     LOAD,
+    SEND,
     TENANT,
     failure_response,
     match_call,
     read_int,
+    read_terms,
     without_own,
 )
 
@@ -43,6 +47,10 @@
 ORPHAN_MS = 1500
 """Time for which a call without a connection goes on, so that its sender can ask about it."""
 
+IDEMPOTENT_ORPHAN_MS = 100
+"""The same for a call that may as well run again; an upstream is to stop within 500 ms of the
+moment at which the caller leaves."""
+
 
 class PeerServer:
     """Handles the requests of other nodes.
@@ -57,8 +65,10 @@
         target: Target,
         config: ConfigSync,
         claims: RunTable,
+        boot_id: str = "",
     ) -> None:
         self.attempts = RunTable(clock, limits.kept_answer_bytes, limits.kept_answer_ms)
+        self._boot_id = boot_id
         self._clock = clock
         self._limits = limits
         self._target = target
@@ -89,7 +99,7 @@
             # A call, whatever its path; questions carry no attempt id.
             await self._run(exchange)
         elif target.startswith(ATTEMPT_PATH):
-            self._answer_question(exchange, target[len(ATTEMPT_PATH) :].decode("latin-1"))
+            self._answer_question(exchange, unquote(target[len(ATTEMPT_PATH) :].decode("latin-1")))
         elif target.startswith(CLAIM_PATH):
             self._answer_claim(exchange, target[len(CLAIM_PATH) :].decode("latin-1"))
         elif target == CONFIG_PATH:
@@ -99,18 +109,19 @@
 
     async def _run(self, exchange: ServerExchange) -> None:
         attempt_id = messages.get_text(exchange.head.headers, ATTEMPT)
-        book = self._config.book
-        match = None if book is None else match_call(exchange.head.headers, book)
+        match = match_call(exchange.head.headers, self._config.book)
         if match is None:
-            self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.NO_CONFIGURATION)))
+            self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.BAD_REQUEST)))
             return
-        known = self.attempts.find(attempt_id)
+        send_number = read_int(exchange.head.headers, SEND, 0)
+        send_id = f"{attempt_id}#{send_number}" if send_number else attempt_id
+        known = self.attempts.find(send_id)
         if known is not None:
             self._attach(exchange, known)
             return
         headers = exchange.head.headers
         deadline_ms = self._clock.now_ms() + read_int(headers, DEADLINE, match.rule.deadline_ms)
-        run = self.attempts.open(attempt_id, deadline_ms)
+        run = self.attempts.open(send_id, deadline_ms)
         self._attach(exchange, run)
         if run.ended:
             return
@@ -135,17 +146,24 @@
             stream=exchange.body,
             crashed_upstreams=crashed.split(",") if crashed else [],
             attempt_id=attempt_id,
+            terms=read_terms(headers),
+            send_number=send_number,
         )
         outcome = await self._target.run(call)
         await run.settle(outcome, self._limits.replay_bytes)
 
-    def _answer_question(self, exchange: ServerExchange, attempt_id: str) -> None:
-        run = self.attempts.find(attempt_id)
+    def _answer_question(self, exchange: ServerExchange, send_id: str) -> None:
+        run = self.attempts.find(send_id)
         if run is not None:
             self._attach(exchange, run)
             return
-        self.attempts.seal(attempt_id)
-        self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.NEVER_ARRIVED)))
+        boot_id = messages.get_text(exchange.head.headers, BOOT)
+        if boot_id and boot_id != self._boot_id:
+            # The process that the call was sent to is gone, and what it ran with it.
+            self._respond(exchange, send_id, Error(Unknown(UnknownReason.PEER_LOST)))
+            return
+        self.attempts.seal(send_id)
+        self._respond(exchange, send_id, Error(NotRun(NotRunReason.NEVER_ARRIVED)))
 
     def _answer_claim(self, exchange: ServerExchange, claim_id: str) -> None:
         run = self._claims.find(claim_id)
@@ -183,13 +201,15 @@
         )
 
     def _exchange_lost(self, exchange: ServerExchange) -> None:
-        attempt_id = self._open.pop(exchange, None)
-        if attempt_id is not None:
-            self._clock.call_later(ORPHAN_MS, self._cancel_orphan, attempt_id)
-
-    def _cancel_orphan(self, attempt_id: str) -> None:
-        if attempt_id not in self._open.values():
-            self._target.cancel(attempt_id)
+        send_id = self._open.pop(exchange, None)
+        if send_id is not None:
+            idempotent = self._target.may_repeat(send_id)
+            delay_ms = IDEMPOTENT_ORPHAN_MS if idempotent else ORPHAN_MS
+            self._clock.call_later(delay_ms, self._cancel_orphan, send_id)
+
+    def _cancel_orphan(self, send_id: str) -> None:
+        if send_id not in self._open.values():
+            self._target.cancel(send_id)
 
     def _send_heartbeats(self) -> None:
         load = [(LOAD, self._target.load().to_header())]
--- /dev/null
+++ b/foxtailproxy/platform/store_client.py
@@ -0,0 +1,286 @@
+"""The platform's object store over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+import structlog
+import treq
+from expression import Error, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+from foxtailproxy.http.transport import watch_for_dead_peer
+from foxtailproxy.store import (
+    Changes,
+    Conflict,
+    HistoryGone,
+    Missing,
+    ObjectListing,
+    Refused,
+    StoreCounters,
+    StoredObject,
+    StoreFailure,
+    Unreachable,
+)
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+    from foxtailproxy.models.settings import PlatformSection
+
+log = structlog.get_logger()
+
+WATCH_WAIT_MS = 25_000
+"""Time that the store may hold a watch open without news, in milliseconds; it allows 30,000."""
+
+POOLED_CONNECTIONS = 2
+"""Idle connections kept: one for a watch, one for other calls."""
+
+MS_PER_SECOND = 1000
+
+
+class ObjectMeta(msgspec.Struct):
+    """What the store keeps about an object."""
+
+    name: str
+    revision: int
+    """The revision of the object's last change, which is the version of the object."""
+
+
+class WireObject(msgspec.Struct):
+    """One object on the wire."""
+
+    metadata: ObjectMeta
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class ListPage(msgspec.Struct):
+    """One page of a listing."""
+
+    items: list[WireObject]
+    current_rev: int
+    """The revision of the store, not of an object."""
+    has_more: bool = False
+
+
+class WatchEvent(msgspec.Struct):
+    """One change; for a removal `object` is the last state."""
+
+    object: WireObject
+    deleted: bool = False
+
+
+class WatchPage(msgspec.Struct):
+    """The changes that a watch brought."""
+
+    events: list[WatchEvent]
+    current_rev: int
+
+
+@implementer(IAgentEndpointFactory)
+class _StoreEndpoints:
+    """Opens connections that notice when the other side has lost track of them."""
+
+    def __init__(self, reactor: Any, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
+        """An endpoint for the host and port of `uri`."""
+        host = uri.host.decode("ascii")
+        return _WatchedEndpoint(
+            TCP4ClientEndpoint(self._reactor, host, uri.port, timeout=self._timeout_s)
+        )
+
+
+class _WatchedEndpoint:
+    """Sets the socket options of each new connection."""
+
+    def __init__(self, endpoint: TCP4ClientEndpoint) -> None:
+        self._endpoint = endpoint
+
+    def connect(self, factory: Any) -> Deferred[Any]:
+        """Connect and set the options."""
+        return self._endpoint.connect(factory).addCallback(self._connected)
+
+    @staticmethod
+    def _connected(protocol: Any) -> Any:
+        watch_for_dead_peer(protocol.transport)
+        return protocol
+
+
+class StoreClient:
+    """Calls the platform's store; implements `foxtailproxy.store.Store`."""
+
+    def __init__(self, reactor: Any, settings: PlatformSection) -> None:
+        self.counters = StoreCounters()
+        self._url = settings.url
+        self._timeout_s = settings.timeout_ms / MS_PER_SECOND
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = POOLED_CONNECTIONS
+        pool.retryAutomatically = False
+        self._reactor = reactor
+        self._pool = pool
+        endpoints = _StoreEndpoints(reactor, self._timeout_s)
+        agent: Any = Agent.usingEndpointFactory(reactor, endpoints, pool)
+        self._treq = HTTPClient(agent)
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._pool.closeCachedConnections()
+
+    async def read(self, path: str) -> Result[StoredObject, StoreFailure]:
+        """One object."""
+        self.counters.reads += 1
+        kind, name = _split(path)
+        answer = await self._send("GET", _object_path(kind, name), None)
+        return answer.bind(lambda body: _decode_object(kind, body))
+
+    async def list_objects(
+        self, kind: str, stale: bool = False
+    ) -> Result[ObjectListing, StoreFailure]:
+        """All objects of a kind, page by page."""
+        objects: list[StoredObject] = []
+        query: dict[str, str | int] = {"serializable": 1} if stale else {}
+        while True:
+            self.counters.reads += 1
+            answer = await self._send("GET", _kind_path(kind, query), None)
+            page = answer.bind(lambda body: _decode(body, ListPage))
+            if page.is_error():
+                return Error(page.error)
+            objects += [_to_object(kind, item) for item in page.ok.items]
+            if not page.ok.has_more or not page.ok.items:
+                return Ok(ObjectListing(page.ok.current_rev, objects))
+            query["after"] = page.ok.items[-1].metadata.name
+
+    async def create(self, path: str, value: str) -> Result[StoredObject, StoreFailure]:
+        """Write an object that must not exist yet."""
+        return await self._write("POST", path, value, None)
+
+    async def update(
+        self, path: str, value: str, version: int
+    ) -> Result[StoredObject, StoreFailure]:
+        """Replace an object that must have `version`."""
+        return await self._write("PUT", path, value, version)
+
+    async def put(self, path: str, value: str) -> Result[StoredObject, StoreFailure]:
+        """Write an object whatever its version: replace it, or create it where it is missing."""
+        written = await self._write("PUT", path, value, None)
+        if written.is_error() and isinstance(written.error, Missing):
+            return await self._write("POST", path, value, None)
+        return written
+
+    async def delete(self, path: str, version: int | None) -> Result[None, StoreFailure]:
+        """Remove an object, of `version` where one is given."""
+        self.counters.writes += 1
+        kind, name = _split(path)
+        query = "" if version is None else f"?revision={version}"
+        answer = await self._send("DELETE", _object_path(kind, name) + query, None)
+        return answer.map(lambda _: None)
+
+    async def watch(self, kind: str, revision: int) -> Result[Changes, StoreFailure]:
+        """Wait for changes in a kind after `revision`; empty where none came in time."""
+        self.counters.watches += 1
+        path = _kind_path(kind, {"watch": revision, "wait_ms": WATCH_WAIT_MS})
+        answer = await self._send("GET", path, None, WATCH_WAIT_MS / MS_PER_SECOND)
+        page = answer.bind(lambda body: _decode(body, WatchPage))
+        return page.map(lambda decoded: _to_changes(kind, decoded))
+
+    async def _write(
+        self, method: str, path: str, value: str, version: int | None
+    ) -> Result[StoredObject, StoreFailure]:
+        self.counters.writes += 1
+        kind, name = _split(path)
+        metadata: dict[str, Any] = {"name": name, "finalizers": []}
+        if version is not None:
+            metadata["revision"] = version
+        body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value.encode())})
+        answer = await self._send(method, _object_path(kind, name), body)
+        return answer.bind(lambda text: _decode_object(kind, text))
+
+    async def _send(
+        self, method: str, path: str, data: bytes | None, extra_s: float = 0.0
+    ) -> Result[bytes, StoreFailure]:
+        result = await self._exchange(method, path, data, self._timeout_s + extra_s)
+        if result.is_error() and isinstance(result.error, Refused | Unreachable):
+            self.counters.failures += 1
+            log.warning("store_call_failed", method=method, path=path, failure=repr(result.error))
+        return result
+
+    async def _exchange(
+        self, method: str, path: str, data: bytes | None, timeout_s: float
+    ) -> Result[bytes, StoreFailure]:
+        headers: Any = {} if data is None else {"content-type": "application/json"}
+        try:
+            response = await self._treq.request(
+                method, self._url + path, headers=headers, data=data, timeout=timeout_s
+            )
+            body = await treq.content(response).addTimeout(timeout_s, self._reactor)
+        except CancelledError:
+            return Error(Unreachable("cancelled"))
+        except Exception as error:
+            return Error(Unreachable(type(error).__name__))
+        return _judge(response.code, path, body)
+
+
+def _judge(status: int, path: str, body: bytes) -> Result[bytes, StoreFailure]:
+    """What a status of the store means."""
+    if status < 300:
+        return Ok(body)
+    if status == 404:
+        return Error(Missing())
+    if status == 409:
+        kind = path.split("/")[2]
+        current = _decode_object(kind, body)
+        return Error(Conflict(current.ok if current.is_ok() else None))
+    if status == 410:
+        return Error(HistoryGone())
+    if status in (429, 503):
+        return Error(Refused(f"status {status}"))
+    return Error(Unreachable(f"status {status}"))
+
+
+def _split(path: str) -> tuple[str, str]:
+    kind, _, name = path.partition("/")
+    return kind, name
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _kind_path(kind: str, query: dict[str, str | int]) -> str:
+    path = f"/objects/{quote(kind, safe='')}"
+    return f"{path}?{urlencode(query)}" if query else path
+
+
+def _to_object(kind: str, item: WireObject) -> StoredObject:
+    return StoredObject(
+        f"{kind}/{item.metadata.name}", item.metadata.revision, bytes(item.spec).decode()
+    )
+
+
+def _to_changes(kind: str, page: WatchPage) -> Changes:
+    return Changes(
+        page.current_rev,
+        [_to_object(kind, event.object) for event in page.events if not event.deleted],
+        [f"{kind}/{event.object.metadata.name}" for event in page.events if event.deleted],
+    )
+
+
+def _decode_object(kind: str, body: bytes) -> Result[StoredObject, StoreFailure]:
+    return _decode(body, WireObject).map(lambda item: _to_object(kind, item))
+
+
+def _decode(body: bytes, model: type[Any]) -> Result[Any, StoreFailure]:
+    try:
+        return Ok(msgspec.json.decode(body, type=model))
+    except msgspec.MsgspecError:
+        return Error(Unreachable("malformed answer"))
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -11,6 +11,9 @@
 from foxtailproxy.ejection import MAX_EJECTED_SHARE, TargetHealth
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import MemberState
+from foxtailproxy.models.settings import LinksSection
+from foxtailproxy.speed import Slowness
+from foxtailproxy.terms import NO_TERMS, Terms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,9 +27,32 @@
 LOAD_HALF_LIFE_MS = 200.0
 """Time in which a load report loses half of its weight, in milliseconds."""
 
+DRAG_HALF_LIFE_MS = 2000.0
+"""Time in which a target's drag loses half of its weight, in milliseconds."""
+
 LOCAL_DATA_CENTER_MS = 1.0
-OTHER_REGION_MS = 20.0
-"""Round trips taken into account before any was seen, in milliseconds."""
+NEAR_DATA_CENTER_MS = 3.0
+OTHER_REGION_MS = 40.0
+"""Round trips to a target of the own data centre, of another one in the region, and of another
+region, in milliseconds; users name 1 to 3 ms and 20 ms one way."""
+
+ANSWER_WEIGHT = 0.05
+"""Weight of the newest answer in the mean size of a class's answers."""
+
+CALL_HEAD_BYTES = 700
+"""Bytes that the heads of a call and its answer take between two nodes."""
+
+BYTES_PER_MB = 1_000_000
+
+NEAR_CANDIDATES = 4
+FAR_CANDIDATES = 2
+"""Targets of the own region, and of others, that are compared for one call."""
+
+SLOW_FACTOR = 1.5
+"""A target that takes so many times longer than usual may be faster in a moment."""
+
+HOLD_RESERVE = 1.5
+"""Part of the objective, in usual run times, that is left for the run when a call is held."""
 
 
 class TargetView:
@@ -36,6 +62,7 @@
         self.member = member
         self.health = TargetHealth(clock)
         self.outstanding = 0
+        self.slowness = Slowness(clock)
         self._clock = clock
         self._load: Load | None = None
         self._reported_ms = 0.0
@@ -46,6 +73,8 @@
         self._load = load
         self._reported_ms = self._clock.now_ms()
         self._sent_since = 0.0
+        if load.slowness:
+            self.slowness.observe(load.slowness, load.slowness_age_ms)
 
     def sent(self) -> None:
         """A call was sent to the target."""
@@ -67,8 +96,18 @@
         """Expected wait and run time at the target in ms."""
         if self._load is None:
             return self.wait_ms(class_name)
-        typical_ms = self._load.typical_ms * self._faded(TYPICAL_HALF_LIFE_MS)
-        return self.wait_ms(class_name) + typical_ms
+        return self.wait_ms(class_name) + self._run_ms(self._load, class_name)
+
+    def _run_ms(self, load: Load, class_name: str) -> float:
+        usual_ms = load.run_by_class.get(class_name)
+        if usual_ms is None:
+            return load.typical_ms * self._faded(TYPICAL_HALF_LIFE_MS)
+        drag = 1 + (load.drag - 1) * self._faded(DRAG_HALF_LIFE_MS)
+        return usual_ms * drag * self.slowness.expected()
+
+    def usual_ms(self, class_name: str) -> float:
+        """Usual run time of a class in ms, at the usual speed; 0 where it is not known."""
+        return 0.0 if self._load is None else self._load.run_by_class.get(class_name, 0.0)
 
     def occupancy(self) -> float:
         """Expected calls for each slot, from an aged report and the calls sent since."""
@@ -88,12 +127,15 @@
 class LocalChoice:
     """Run the call at this node's own target."""
 
+    terms: Terms = NO_TERMS
+
 
 @dataclass(frozen=True, slots=True)
 class PeerChoice:
     """Send the call to the node beside another target."""
 
     view: TargetView
+    terms: Terms = NO_TERMS
 
 
 Choice = LocalChoice | PeerChoice
@@ -118,15 +160,20 @@
         clock: Clock,
         node_id: str,
         region: str,
+        data_center: str,
         target: Target,
         spend_paid_link: Callable[[int], bool],
         rng: random.Random,
+        links: LinksSection | None = None,
     ) -> None:
+        self.links = links or LinksSection()
+        self._answer_bytes: dict[str, float] = {}
         self.by_id: dict[str, TargetView] = {}
         self.local_health = TargetHealth(clock)
         self._clock = clock
         self.node_id = node_id
         self._region = region
+        self._data_center = data_center
         self._target = target
         self._spend_paid_link = spend_paid_link
         self._rng = rng
@@ -153,28 +200,106 @@
         if view is not None:
             view.observe(load)
 
-    def choose(self, match: Match, tried: set[str], size: int) -> Choice | None:
-        """The target for a call of `size` bytes that the targets in `tried` did not run."""
+    def choose(
+        self,
+        match: Match,
+        tried: set[str],
+        size: int,
+        declined: frozenset[str] = frozenset(),
+        left_ms: float = 0.0,
+    ) -> Choice | None:
+        """The target for a call of `size` bytes that the targets in `tried` did not run.
+
+        Those in `declined` handed the call back; `left_ms` is left of its objective.
+        """
         service = match.service.name
         local = LOCAL_ID not in tried and self._target.serves(service)
         if local and not self.local_health.ejected and self._local_lead_ms(match) >= 0:
             # No peer can be so much better that the call would leave.
             return LocalChoice()
         peers = self._peers(service, tried, match.rule.idempotent)
-        near = [view for view in peers if view.member.region == self._region]
-        best = self._better_of_two(near, match)
-        if local and self._keep_local(best, match):
-            return self._local_choice()
-        if best is None or best.wait_ms(match.rule.name) > match.service.overflow_after_ms:
-            far = [view for view in peers if view.member.region != self._region]
-            overflow = self._better_of_two(far, match)
+        near = self._sample(
+            [view for view in peers if view.member.region == self._region], NEAR_CANDIDATES
+        )
+        far = self._sample(
+            [view for view in peers if view.member.region != self._region], FAR_CANDIDATES
+        )
+        best = self._best(near, match, size)
+        if local and self._keep_local(best, match, size):
+            best = None
+        elif best is None or self._looks_far(best, match):
+            overflow = self._best(far, match, size)
             if overflow is not None and self._overflows(best, overflow, match, size):
                 best = overflow
-        if best is None:
-            return self._local_choice() if local else None
-        if best.health.ejected:
-            best.health.begin_trial()
-        return PeerChoice(best)
+        if best is None and not local:
+            return None
+        others = [view for view in (*near, *far) if view is not best]
+        terms = self._terms(best, others, local and best is not None, match, declined, left_ms)
+        return self._chosen(best, terms)
+
+    def _chosen(self, best: TargetView | None, terms: Terms) -> Choice:
+        """The choice of a peer, or of the own target where `best` is `None`."""
+        health = self.local_health if best is None else best.health
+        if health.ejected:
+            health.begin_trial()
+        return LocalChoice(terms) if best is None else PeerChoice(best, terms)
+
+    def _terms(
+        self,
+        best: TargetView | None,
+        others: list[TargetView],
+        local: bool,
+        match: Match,
+        declined: frozenset[str],
+        left_ms: float,
+    ) -> Terms:
+        """Terms for the chosen target, given the `others` and whether the own one is among them."""
+        name = match.rule.name
+        chosen_id = LOCAL_ID if best is None else best.member.node_id
+        usual_ms = self._usual_local_ms(match) if best is None else best.usual_ms(name)
+        if not usual_ms:
+            return NO_TERMS
+        times = [
+            view.time_ms(name) + self._distance_ms(view) + self._cost_ms(view, match, 0)
+            for view in others
+            if view.usual_ms(name)
+        ]
+        if local:
+            times.append(self._local_ms(match))
+        if times and chosen_id not in declined:
+            overhead_ms = 0.0 if best is None else self._distance_ms(best)
+            return Terms(limit_ms=max(usual_ms, min(times) - overhead_ms))
+        return Terms(hold_ms=max(0.0, left_ms - HOLD_RESERVE * usual_ms))
+
+    def answered(self, class_key: str, size: int) -> None:
+        """A call of a class got an answer of `size` bytes."""
+        known = self._answer_bytes.get(class_key, float(size))
+        self._answer_bytes[class_key] = known + ANSWER_WEIGHT * (size - known)
+
+    def _cost_ms(self, view: TargetView, match: Match, size: int) -> float:
+        """What the bytes of a call cost, as the time by which another target may take longer."""
+        if view.member.data_center == self._data_center:
+            return 0.0
+        far = view.member.region != self._region
+        per_mb = self.links.region_cost_per_mb if far else self.links.data_center_cost_per_mb
+        answer_bytes = self._answer_bytes.get(f"{match.service.name}/{match.rule.name}", 0.0)
+        cost = per_mb * (size + answer_bytes + CALL_HEAD_BYTES) / BYTES_PER_MB
+        return cost * match.rule.objective_ms
+
+    def _distance_ms(self, view: TargetView) -> float:
+        if view.member.region != self._region:
+            return OTHER_REGION_MS
+        near = view.member.data_center == self._data_center
+        return LOCAL_DATA_CENTER_MS if near else NEAR_DATA_CENTER_MS
+
+    def _sample(self, views: list[TargetView], most: int) -> list[TargetView]:
+        return views if len(views) <= most else self._rng.sample(views, most)
+
+    def _looks_far(self, best: TargetView, match: Match) -> bool:
+        """Whether targets of other regions are to be compared with the best near one."""
+        if best.wait_ms(match.rule.name) > match.service.overflow_after_ms:
+            return True
+        return best.slowness.known and best.slowness.expected() > SLOW_FACTOR
 
     def choose_for_suspect(self, call: Call) -> Choice | None:
         """The one target for a request that was running when upstreams died.
@@ -203,11 +328,6 @@
         ejected = sum(1 for other in healths if other.ejected)
         health.failure((ejected + 1) <= MAX_EJECTED_SHARE * max(2, len(healths)))
 
-    def _local_choice(self) -> Choice:
-        if self.local_health.ejected:
-            self.local_health.begin_trial()
-        return LocalChoice()
-
     def _peers(self, service: str, tried: set[str], may_try: bool) -> list[TargetView]:
         """The targets to choose from; where `may_try`, an ejected one may get a trial call."""
         views = [
@@ -224,31 +344,46 @@
         healthy = [view for view in alive if not view.health.ejected]
         return healthy or alive
 
-    def _better_of_two(self, views: list[TargetView], match: Match) -> TargetView | None:
-        if len(views) <= 1:
-            return views[0] if views else None
-        first, second = self._rng.sample(views, 2)
-        name = match.rule.name
-        # Where the times hardly differ, the calls sent since the reports decide.
-        return min(first, second, key=lambda view: (round(view.time_ms(name), 1), view.occupancy()))
+    def _best(self, views: list[TargetView], match: Match, size: int) -> TargetView | None:
+        def rank_of(view: TargetView) -> tuple[float, float]:
+            total_ms = view.time_ms(match.rule.name) + self._distance_ms(view)
+            # Where the times hardly differ, the calls sent since the reports decide.
+            return round(total_ms + self._cost_ms(view, match, size), 1), view.occupancy()
+
+        return min(views, key=rank_of, default=None)
 
-    def _keep_local(self, best: TargetView | None, match: Match) -> bool:
+    def _keep_local(self, best: TargetView | None, match: Match, size: int) -> bool:
         if best is None:
             return True
         if self.local_health.ejected and not (
             match.rule.idempotent and self.local_health.trial_due
         ):
             return best.health.ejected
-        return best.time_ms(match.rule.name) + self._local_lead_ms(match) >= 0
+        distance_ms = self._distance_ms(best) + self._cost_ms(best, match, size)
+        return best.time_ms(match.rule.name) + distance_ms + self._local_lead_ms(match) >= 0
 
     def _local_lead_ms(self, match: Match) -> float:
         """What the own target's margin leaves of its expected time, in ms."""
+        return match.service.local_margin_ms - self._local_ms(match)
+
+    def _usual_local_ms(self, match: Match) -> float:
+        return self._target.load().run_by_class.get(match.rule.name, 0.0)
+
+    def _local_ms(self, match: Match) -> float:
+        """Expected wait and run time at the own target, in ms."""
         load = self._target.load()
-        local_ms = load.wait_ms(match.rule.name) + load.typical_ms
-        return LOCAL_DATA_CENTER_MS + match.service.local_margin_ms - local_ms
+        usual_ms = load.run_by_class.get(match.rule.name)
+        if usual_ms is None:
+            return load.wait_ms(match.rule.name) + load.typical_ms
+        return load.wait_ms(match.rule.name) + usual_ms * load.drag * self._target.slowness()
 
     def _overflows(self, near: TargetView | None, far: TargetView, match: Match, size: int) -> bool:
         name = match.rule.name
-        if near is not None and near.time_ms(name) <= far.time_ms(name) + OTHER_REGION_MS:
-            return False
+        if near is not None:
+            near_ms = (
+                near.time_ms(name) + self._distance_ms(near) + self._cost_ms(near, match, size)
+            )
+            extra_ms = self._distance_ms(far) + self._cost_ms(far, match, size)
+            if near_ms <= far.time_ms(name) + extra_ms:
+                return False
         return self._spend_paid_link(size)
--- /dev/null
+++ b/foxtailproxy/settings_watch.py
@@ -0,0 +1,57 @@
+"""Notices that the settings file has changed, by a signal or by its content."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from foxtailproxy.config.settings import parse_settings, read_text
+from foxtailproxy.exceptions import FoxtailproxyError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.task import LoopingCall
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.models.settings import NodeSettings
+
+log = structlog.get_logger()
+
+CHECK_INTERVAL_MS = 1000
+"""Time between two looks at the file, in milliseconds; a change without a signal is in force
+within it."""
+
+
+class SettingsWatch:
+    """Reads the file at `path` again when it changes; `on_change` gets the valid settings."""
+
+    def __init__(self, clock: Clock, path: str, on_change: Callable[[NodeSettings], None]) -> None:
+        self._clock = clock
+        self._path = path
+        self._on_change = on_change
+        self._text = read_text(path)
+        self._loop: LoopingCall | None = None
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._loop = self._clock.repeat(CHECK_INTERVAL_MS, self.check)
+
+    def close(self) -> None:
+        """Stop looking."""
+        if self._loop is not None:
+            self._loop.stop()
+
+    def check(self) -> None:
+        """Read the file; settings that are not valid leave those before in force."""
+        try:
+            text = read_text(self._path)
+            if text == self._text:
+                return
+            self._text = text
+            settings = parse_settings(text, self._path)
+        except FoxtailproxyError as error:
+            log.error("settings_invalid", error=error.format_message())
+            return
+        self._on_change(settings)
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -10,21 +10,31 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from foxtailproxy.admission import Admission, Ticket
-from foxtailproxy.http.errors import ConnectFailed, DeadlinePassed, ExchangeCancelled, HttpError
-from foxtailproxy.http.messages import RequestHead, ResponseHead, end_to_end, get_text
+from foxtailproxy.clock import cancel_timer
+from foxtailproxy.dialect import Dialect, UpstreamLoad, UpstreamNote
+from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.errors import (
+    ConnectFailed,
+    DeadlinePassed,
+    ExchangeCancelled,
+    HttpError,
+    MalformedResponse,
+)
+from foxtailproxy.http.messages import RequestHead, ResponseHead, end_to_end
 from foxtailproxy.http.pool import ConnectionPool
+from foxtailproxy.models.messages import Announcement
+from foxtailproxy.models.settings import UpstreamSection
 from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
-from foxtailproxy.wire import OUTCOME, upstream_headers, without_own
+from foxtailproxy.terms import NO_TERMS
+from foxtailproxy.wire import without_own
 
 if TYPE_CHECKING:
     from twisted.internet.task import LoopingCall
 
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
-    from foxtailproxy.http.body import BodyStream
     from foxtailproxy.http.client import ClientConnection, ClientResponse
     from foxtailproxy.load import Load
-    from foxtailproxy.models.messages import Announcement
 
 log = structlog.get_logger()
 
@@ -43,6 +53,24 @@
 PROBE_MS = 500
 """Time between two tries to reach an upstream that is down, in milliseconds."""
 
+HEALTH_TIMEOUT_MS = 1000
+"""Longest wait for a health check, in milliseconds."""
+
+HEALTHY_STATUS = 200
+HEALTH_BODY_BYTES = 4096
+
+FRESH_SPEED_MS = 80
+"""Age up to which a report of the upstream's speed is taken as it is, in milliseconds."""
+
+SPEED_TIMEOUT_MS = 100
+"""Longest wait for a report of the upstream's speed, in milliseconds."""
+
+HOLD_CHECK_MS = 30
+"""Time between two looks whether a slow instance works at its usual speed again."""
+
+LEFT_PROCESSES = 64
+"""Upstream processes remembered as having left at most."""
+
 
 class TargetListener(Protocol):
     """Is told of changes of the target."""
@@ -64,21 +92,37 @@
     call: Call
     ticket: Ticket
     connection: ClientConnection | None = None
+    cancelled: bool = False
 
 
 class Target:
     """Admits calls and runs them at the upstream."""
 
-    def __init__(self, clock: Clock, reactor: Any, listener: TargetListener) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        reactor: Any,
+        listener: TargetListener,
+        dialect: Dialect,
+        settings: UpstreamSection | None = None,
+    ) -> None:
+        settings = settings or UpstreamSection()
         self.announcement: Announcement | None = None
         self.leaving = False
+        self._dialect = dialect
+        self._slot_percent = settings.slot_percent
+        self._reuse_idle_ms = settings.reuse_idle_ms
+        self.health_path = "/healthz"
+        self.speed_checks = 0
+        self._speed_answers: list[Deferred[None]] | None = None
+        self._left: dict[tuple[str, int], None] = {}
         self.down = False
         self.admission = Admission(clock, 0)
         self._clock = clock
         self._reactor = reactor
         self._listener = listener
         self._pool: ConnectionPool | None = None
-        self._by_attempt: dict[str, RunningCall] = {}
+        self._by_send: dict[str, RunningCall] = {}
         self._crashed: list[Call] = []
         self._loops: list[LoopingCall] = []
         self._probing = False
@@ -96,29 +140,124 @@
             self._pool.close()
 
     def announce(self, announcement: Announcement) -> None:
-        """The upstream says that it serves."""
-        if announcement == self.announcement and not self.down and not self.leaving:
+        """The upstream says that it serves, or that it takes no new work."""
+        if self._is_late(announcement):
+            log.info(
+                "announcement_late",
+                instance=announcement.instance,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
+            )
             return
-        if self.leaving and self._same_instance(announcement):
+        if announcement.leaving:
+            self.process_left(announcement.instance, announcement.born_ms)
+        if not self._same_process(announcement):
+            self._adopt(announcement)
+        else:
+            self._renew(announcement)
+
+    def process_left(self, instance: str, born_ms: int) -> None:
+        """The upstream process takes no new work, now or when it is announced again."""
+        self._left[instance, born_ms] = None
+        if len(self._left) > LEFT_PROCESSES:
+            del self._left[next(iter(self._left))]
+        if self.process_gone:
+            if self.leaving:
+                self._listener.target_changed()
+            self.leave()
+
+    def _has_left(self, announcement: Announcement) -> bool:
+        """Whether the process said that it leaves; one whose start is not known counts as it."""
+        return any(
+            instance == announcement.instance
+            and (born_ms == announcement.born_ms or not born_ms or not announcement.born_ms)
+            for instance, born_ms in self._left
+        )
+
+    def _is_late(self, announcement: Announcement) -> bool:
+        """Whether something newer is known of the upstream."""
+        known = self.announcement
+        if known is None:
+            return False
+        if announcement.born_ms and announcement.born_ms < known.born_ms:
+            return True
+        return (
+            self._same_process(announcement)
+            and announcement.born_ms == known.born_ms
+            and announcement.sequence < known.sequence
+        )
+
+    def _same_process(self, announcement: Announcement) -> bool:
+        known = self.announcement
+        if known is None or announcement.instance != known.instance:
+            return False
+        same_place = (announcement.address, announcement.port, announcement.service) == (
+            known.address,
+            known.port,
+            known.service,
+        )
+        born = (known.born_ms, announcement.born_ms)
+        return same_place and (born[0] == born[1] or 0 in born)
+
+    def _renew(self, announcement: Announcement) -> None:
+        """The process that is known already tells of itself once more."""
+        known = self.announcement
+        self.announcement = announcement
+        if not announcement.instance and (self.leaving or self.down):
+            # An upstream without a name of its process starts anew by announcing itself.
+            self._adopt(announcement)
             return
+        if known is not None and known.slots != announcement.slots:
+            self._set_slots(announcement.slots)
+        if known is not None and known.born_ms != announcement.born_ms:
+            self._listener.target_changed()
+
+    def _set_slots(self, slots: int) -> None:
+        self.admission.set_slots(max(1, slots * self._slot_percent // 100))
+
+    def _adopt(self, announcement: Announcement) -> None:
+        """Another process of the upstream serves from now on."""
         log.info(
             "upstream_announced",
             service=announcement.service,
             port=announcement.port,
             slots=announcement.slots,
+            instance=announcement.instance,
+            born_ms=announcement.born_ms,
         )
         if self._pool is not None:
             self._pool.close()
         self._pool = ConnectionPool(self._reactor, announcement.address, announcement.port)
         self.announcement = announcement
-        self.leaving = False
+        self.leaving = self._has_left(announcement) if announcement.instance else False
         self.down = False
-        self.admission.set_slots(announcement.slots)
+        self._set_slots(announcement.slots)
         self._listener.target_changed()
 
-    def _same_instance(self, announcement: Announcement) -> bool:
-        known = self.announcement
-        return known is not None and announcement.instance == known.instance
+    async def discover(self, service: str, address: str, port: int, health_path: str) -> None:
+        """Take up work for an upstream that ran before this node started, by a health check."""
+        pool = ConnectionPool(self._reactor, address, port)
+        head = RequestHead(b"GET", health_path.encode(), [(b"host", address.encode())])
+        try:
+            connection = await pool.acquire()
+            timer = self._clock.call_later(HEALTH_TIMEOUT_MS, connection.fail, DeadlinePassed())
+            try:
+                response = await connection.request(head, BodyStream.of(b""))
+            finally:
+                cancel_timer(timer)
+        except HttpError as error:
+            log.info("upstream_not_found", error=type(error).__name__)
+            return
+        finally:
+            pool.close()
+        note = self._dialect.read_upstream(response.head)
+        connection.abort()
+        if self.announcement is not None:
+            return
+        if response.head.status != HEALTHY_STATUS or not note.instance or note.load is None:
+            log.info("upstream_not_healthy", status=response.head.status, instance=note.instance)
+            return
+        self.announce(Announcement(service, address, port, note.load.slots, instance=note.instance))
 
     def leave(self) -> None:
         """The upstream takes no new work; what waits is refused, what runs is finished."""
@@ -129,6 +268,11 @@
         self.admission.refuse_all(NotRunReason.LEAVING)
         self._listener.target_changed()
 
+    @property
+    def process_gone(self) -> bool:
+        """Whether the upstream's process itself said that it takes no new work."""
+        return self.announcement is not None and self._has_left(self.announcement)
+
     @property
     def serving(self) -> bool:
         """Whether new calls may run."""
@@ -151,22 +295,88 @@
         admitted: Deferred[NotRun | None] = Deferred()
         ticket = Ticket(call, lambda: admitted.callback(None), admitted.callback)
         running = RunningCall(call, ticket)
-        self._by_attempt[call.attempt_id] = running
+        self._by_send[call.send_id] = running
+        refusal = await self._await_speed(running)
+        if refusal is not None:
+            del self._by_send[call.send_id]
+            return Error(refusal)
         self.admission.enter(ticket)
         refused = await admitted
         if refused is not None:
-            del self._by_attempt[call.attempt_id]
+            del self._by_send[call.send_id]
             return Error(refused)
         return await self._run_admitted(running)
 
-    def cancel(self, attempt_id: str) -> None:
+    async def _await_speed(self, running: RunningCall) -> NotRun | None:
+        """Hand a call back that is faster elsewhere, or hold it while the instance is slow."""
+        call = running.call
+        if call.terms == NO_TERMS:
+            return None
+        await self._refresh_speed()
+        if self.admission.expected_ms(call) > call.terms.limit_ms:
+            return NotRun(NotRunReason.FASTER_ELSEWHERE)
+        until_ms = self._clock.now_ms() + call.terms.hold_ms
+        while self.admission.slowness.slow and self._clock.now_ms() < until_ms:
+            await self._clock.sleep(HOLD_CHECK_MS)
+            if running.cancelled:
+                return NotRun(NotRunReason.CANCELLED)
+            await self._refresh_speed()
+        return self._refusal(call)
+
+    def slowness(self) -> float:
+        """How many times longer than usual work takes at the upstream now."""
+        return self.admission.slowness.expected()
+
+    async def _refresh_speed(self) -> None:
+        """Ask the upstream for its speed where the last report is old; one question at a time."""
+        speed = self.admission.slowness
+        if not speed.known or speed.age_ms < FRESH_SPEED_MS or self.announcement is None:
+            return
+        if self._speed_answers is not None:
+            waiting: Deferred[None] = Deferred()
+            self._speed_answers.append(waiting)
+            await waiting
+            return
+        self._speed_answers = []
+        await self._ask_speed()
+        answers, self._speed_answers = self._speed_answers, None
+        for answer in answers:
+            answer.callback(None)
+
+    async def _ask_speed(self) -> None:
+        if self._pool is None:
+            return
+        head = RequestHead(b"GET", self.health_path.encode(), [(b"host", b"upstream")])
+        try:
+            connection = await self._pool.acquire()
+            timer = self._clock.call_later(SPEED_TIMEOUT_MS, connection.fail, DeadlinePassed())
+            try:
+                response = await connection.request(head, BodyStream.of(b""))
+                await response.body.buffer(HEALTH_BODY_BYTES)
+            finally:
+                cancel_timer(timer)
+        except HttpError as error:
+            log.info("speed_not_known", error=type(error).__name__)
+            return
+        self.speed_checks += 1
+        note = self._dialect.read_upstream(response.head)
+        if note.load is not None:
+            self._take_load(note.load)
+
+    def may_repeat(self, send_id: str) -> bool:
+        """Whether a call that waits or runs here may run again."""
+        running = self._by_send.get(send_id)
+        return running is not None and running.call.rule.idempotent
+
+    def cancel(self, send_id: str) -> None:
         """The caller does not want the answer any more.
 
         A call that waits is dropped. One that runs is stopped only where it may run again.
         """
-        running = self._by_attempt.get(attempt_id)
+        running = self._by_send.get(send_id)
         if running is None:
             return
+        running.cancelled = True
         if self.admission.withdraw(running.ticket):
             running.ticket.on_refuse(NotRun(NotRunReason.CANCELLED))
         elif running.call.rule.idempotent and running.connection is not None:
@@ -185,20 +395,25 @@
 
     async def _run_admitted(self, running: RunningCall) -> Outcome:
         call = running.call
-        assert self._pool is not None
+        pool, announcement = self._pool, self.announcement
+        assert pool is not None and announcement is not None
+        fresh = not call.rule.idempotent and not self._reuse_idle_ms
+        idle_ms = None if call.rule.idempotent else self._reuse_idle_ms
         try:
-            connection = await self._pool.acquire(fresh=not call.rule.idempotent)
+            connection = await pool.acquire(fresh, idle_ms)
         except ConnectFailed:
             self._end(running)
             self._mark_down()
             return Error(NotRun(NotRunReason.TARGET_DOWN))
-        if call.remaining_ms(self._clock) <= 0:
+        if call.remaining_ms(self._clock) < 1:
             self._end(running)
             connection.abort()
             return Error(NotRun(NotRunReason.DEADLINE))
         running.connection = connection
         reused = connection.used
-        head = RequestHead(call.head.method, call.head.target, upstream_headers(call, self._clock))
+        remaining_ms = int(call.remaining_ms(self._clock))
+        headers = self._dialect.upstream_headers(call, remaining_ms, announcement.instance)
+        head = RequestHead(call.head.method, call.head.target, headers)
         try:
             response = await connection.request(head, call.body())
         except HttpError as error:
@@ -216,9 +431,22 @@
         return await self.run(call)
 
     def _answered(self, running: RunningCall, response: ClientResponse) -> Outcome:
+        note = self._dialect.read_upstream(response.head)
+        assert running.connection is not None
+        if note.attempt_id and note.attempt_id != running.call.attempt_id:
+            # The answer to an earlier call came late, or twice.
+            log.warning(
+                "answer_of_another_call", attempt=running.call.attempt_id, got=note.attempt_id
+            )
+            running.connection.fail(MalformedResponse())
+            self._end(running)
+            return Error(Unknown(UnknownReason.UPSTREAM_LOST))
         self._end_with_body(running, response.body)
-        if get_text(response.head.headers, OUTCOME).startswith("not-run"):
-            assert running.connection is not None
+        if note.load is not None:
+            self._take_load(note.load)
+        if note.another_instance:
+            self._misdirected(note)
+        if note.not_run:
             running.connection.abort()
             return Error(NotRun(NotRunReason.UPSTREAM_REFUSED))
         if response.head.status < SERVER_ERROR:
@@ -228,6 +456,16 @@
             Answer(ResponseHead(response.head.status, response.head.reason, headers), response.body)
         )
 
+    def _take_load(self, load: UpstreamLoad) -> None:
+        self.admission.slowness.observe(load.slowness)
+
+    def _misdirected(self, note: UpstreamNote) -> None:
+        """Another process has the upstream's address: wait until it announces itself."""
+        log.warning("upstream_replaced", instance=note.instance)
+        known = self.announcement
+        if known is not None and known.instance != note.instance:
+            self.process_left(known.instance, known.born_ms)
+
     def _end_with_body(self, running: RunningCall, body: BodyStream) -> None:
         if body.ended or body.error is not None:
             self._end(running)
@@ -236,7 +474,7 @@
 
     def _end(self, running: RunningCall) -> None:
         self.admission.leave(running.ticket)
-        self._by_attempt.pop(running.call.attempt_id, None)
+        self._by_send.pop(running.call.send_id, None)
 
     async def _lost(self, running: RunningCall, error: HttpError) -> Unknown:
         """The exchange broke: find out whether the upstream died with it."""
@@ -294,7 +532,7 @@
     def _sweep(self) -> None:
         self.admission.sweep()
         now = self._clock.now_ms()
-        for running in list(self._by_attempt.values()):
+        for running in list(self._by_send.values()):
             patience_ms = 0 if running.call.rule.idempotent else OVERDUE_MS
             overdue = running.call.deadline_ms + patience_ms <= now
             if overdue and running.connection is not None:
--- a/foxtailproxy/tests/fakes.py
+++ b/foxtailproxy/tests/fakes.py
@@ -15,11 +15,18 @@
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import ConnectFailed
 from foxtailproxy.http.messages import RequestHead, ResponseHead
-from foxtailproxy.models.messages import MemberRecord, MemberState, ObjectListing, StoredObject
+from foxtailproxy.models.messages import MemberRecord, MemberState
 from foxtailproxy.models.rules import ClassRule, ServiceRule
 from foxtailproxy.models.settings import LimitsSection
 from foxtailproxy.outcome import Answer, Outcome
-from foxtailproxy.platform_client import Conflict, Missing, Unreachable
+from foxtailproxy.store import (
+    Changes,
+    Conflict,
+    Missing,
+    ObjectListing,
+    StoredObject,
+    Unreachable,
+)
 
 LIMITS = LimitsSection()
 
@@ -132,7 +139,14 @@
         if self.faults.outage:
             return Error(Unreachable("outage"))
         changed = [o for o in self.by_name.values() if o.version > revision]
-        return Ok(ObjectListing(self.revision, changed))
+        return Ok(Changes(self.revision, changed))
+
+    async def list_objects(self, kind: str, stale: bool = False) -> Any:
+        """All objects of a kind."""
+        await self._pause()
+        if self.faults.outage:
+            return Error(Unreachable("outage"))
+        return Ok(ObjectListing(self.revision, list(self.by_name.values())))
 
     async def _write(self, name: str, condition: Any, value: str | None) -> Any:
         await self._pause()
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -22,6 +22,8 @@
       | both-lengths             |
       | two-lengths              |
       | bad-chunk-size           |
+      | bad-chunk-after-head     |
+      | http-1.0-chunked         |
       | bare-line-feed           |
       | two-hosts                |
       | no-host                  |
--- a/foxtailproxy/tests/http_sessions.py
+++ b/foxtailproxy/tests/http_sessions.py
@@ -63,6 +63,13 @@
     "bad-chunk-size": [
         b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\nabc\r\n"
     ],
+    "bad-chunk-after-head": [
+        b"POST /strict HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"xyz\r\nabc\r\n",
+    ],
+    "http-1.0-chunked": [
+        b"POST / HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ],
     "bare-line-feed": [b"GET / HTTP/1.1\nHost: kalender\n\n"],
     "two-hosts": [b"GET / HTTP/1.1\r\n" + HOST + b"Host: other\r\n\r\n"],
     "no-host": [b"GET / HTTP/1.1\r\n\r\n"],
@@ -111,6 +118,8 @@
     try:
         await exchange.body.buffer(LIMITS.body_bytes)
     except HttpError:
+        if exchange.head.target == b"/strict":
+            exchange.respond(ResponseHead(400, b"Bad Request"), BodyStream.of(b"cut"))
         return
     target = exchange.head.target
     text = exchange.head.method + b" " + target + b" " + exchange.body.held()
--- a/foxtailproxy/tests/peer_recovery.feature
+++ b/foxtailproxy/tests/peer_recovery.feature
@@ -16,6 +16,7 @@
       | its connection goes silent and it ends meanwhile        | 300    | answered              | 2500   | 1    |
       | it is sent on an idle connection that went silent       | 50     | not-run never-arrived | 2500   | 0    |
       | its connection is cut while it runs                     | 600    | answered              | 2500   | 1    |
+      | its node restarts while it runs                         | 600    | unknown peer-lost     | 2500   | 1    |
       | the node cannot be reached any more                     | 600    | unknown peer-lost     | 5000   | 1    |
 
   Scenario: A call that arrives after its sender was told that it never did is not run
--- a/foxtailproxy/tests/steps/peer_recovery.py
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -54,9 +54,13 @@
         """Some load."""
         return Load(len(self.runs), 0, 2, 1.0)
 
-    def cancel(self, attempt_id: str) -> None:
+    def cancel(self, send_id: str) -> None:
         """Nothing to stop."""
 
+    def may_repeat(self, send_id: str) -> bool:
+        """These calls run at most once."""
+        return False
+
 
 class FixedConfig:
     """A configuration that does not change."""
@@ -77,7 +81,7 @@
         target: Any = self.target
         config: Any = FixedConfig()
         claims = RunTable(self.clock, 1000, 1000)
-        self.server = PeerServer(self.clock, LIMITS, target, config, claims)
+        self.server = PeerServer(self.clock, LIMITS, target, config, claims, "boot-b")
         limits = replace(LIMITS, idle_time_ms=LONGEST_STALL_MS)
         self.client = PeerClient(self.clock, loop, limits, lambda node_id, load: None)
         factory = ServerFactory(self.server.handle, BOUNDS, self.clock)
@@ -111,6 +115,12 @@
         for side in list(self.relay.sides):
             side.transport.abortConnection()
 
+    def restart(self) -> None:
+        """Begin another process, which knows nothing of the calls before it."""
+        self.server.attempts.by_id.clear()
+        self.server._boot_id = "boot-c"
+        self.cut()
+
     def isolate(self) -> None:
         """Let nothing through any more."""
         self.silence()
@@ -144,7 +154,12 @@
         nodes.target.runs.clear()
         nodes.silence()
     nodes.target.run_ms = run_ms
-    faults = {"silent": nodes.silence, "is cut": nodes.cut, "cannot be reached": nodes.isolate}
+    faults = {
+        "silent": nodes.silence,
+        "is cut": nodes.cut,
+        "restarts": nodes.restart,
+        "cannot be reached": nodes.isolate,
+    }
     for words, fault in faults.items():
         if words in what and not idle:
             loop: Any = reactor
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -11,7 +11,7 @@
 from foxtailproxy.entry import retriable
 from foxtailproxy.load import Load
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
-from foxtailproxy.retry_budget import RetryBudget
+from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.routing import LocalChoice, Router
 from foxtailproxy.tests.fakes import advance, fake_clock, make_answer, make_call, make_member
 
@@ -49,7 +49,9 @@
 def step_own(context: Any, load: str) -> None:
     context.clock = fake_clock()
     own: Any = OwnTarget(read_load(load))
-    context.router = Router(context.clock, "me", "pohja", own, lambda size: True, random.Random(1))
+    context.router = Router(
+        context.clock, "me", "pohja", "tallinn-a", own, lambda size: True, random.Random(1)
+    )
 
 
 @given("its peers report {first}, {second} and {third}")
@@ -133,11 +135,11 @@
 
 @when("{count:d} calls earn {percent:d} percent and each asks for a retry")
 def step_retries(context: Any, count: int, percent: int) -> None:
-    budget = RetryBudget()
+    budgets = RetryBudgets(fake_clock(), RetryLimits(percent / 100))
     context.allowed = 0
     for _ in range(count):
-        budget.earn(percent)
-        context.allowed += budget.spend(0.0)
+        budgets.earn("kalender")
+        context.allowed += budgets.spend("kalender")
 
 
 @then("between {least:d} and {most:d} retries are allowed")
--- a/foxtailproxy/tests/steps/target.py
+++ b/foxtailproxy/tests/steps/target.py
@@ -11,6 +11,7 @@
 
 from foxtailproxy.call import Call
 from foxtailproxy.clock import Clock
+from foxtailproxy.dialect import OwnDialect
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.target import Target
 from foxtailproxy.tests.fakes import make_call
@@ -70,7 +71,7 @@
         if habit != "does not listen":
             self.listening = loop.listenTCP(port, self.factory, interface="127.0.0.1")
         self.clock = Clock(loop)
-        self.target = Target(self.clock, loop, Quiet())
+        self.target = Target(self.clock, loop, Quiet(), OwnDialect())
         self.target.announce(Announcement("kalender", "127.0.0.1", port, 2))
         self.target.start()
 
--- a/foxtailproxy/wire.py
+++ b/foxtailproxy/wire.py
@@ -2,29 +2,35 @@
 
 from __future__ import annotations
 
-from functools import singledispatch
+from functools import lru_cache, singledispatch
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from foxtailproxy.config.rules import Match
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
+from foxtailproxy.models.rules import ClassRule, ServiceRule
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
+from foxtailproxy.terms import NO_TERMS, Terms
 
 if TYPE_CHECKING:
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
-    from foxtailproxy.config.rules import Match, RuleBook
+    from foxtailproxy.config.rules import RuleBook
 
 PREFIX = b"foxtail-"
 
 ATTEMPT = b"foxtail-attempt"
+SEND = b"foxtail-send"
+BOOT = b"foxtail-boot"
 SERVICE = b"foxtail-service"
-CLASS = b"foxtail-class"
+RULE = b"foxtail-rule"
 TENANT = b"foxtail-tenant"
 DEADLINE = b"foxtail-deadline-ms"
 DEPTH = b"foxtail-depth"
 CRASHED = b"foxtail-crashed"
+TERMS = b"foxtail-terms"
 OUTCOME = b"foxtail-outcome"
 LOAD = b"foxtail-load"
 RETRY_AFTER = b"foxtail-retry-after-ms"
@@ -59,33 +65,80 @@
     """The headers that carry a call to the node beside its target."""
     headers = messages.end_to_end(call.head.headers)
     headers.append((ATTEMPT, call.attempt_id.encode()))
+    if call.send_number:
+        headers.append((SEND, b"%d" % call.send_number))
     headers.append((SERVICE, call.service.name.encode()))
-    headers.append((CLASS, call.rule.name.encode()))
-    headers.append((TENANT, call.tenant.encode("latin-1", "replace")))
+    headers.append((RULE, rule_header(call.rule)))
+    if call.tenant:
+        headers.append((TENANT, call.tenant.encode("latin-1", "replace")))
     headers.append((DEADLINE, b"%d" % call.remaining_ms(clock)))
     headers.append((DEPTH, b"%d" % call.depth))
+    if call.terms != NO_TERMS:
+        headers.append((TERMS, b"%.0f;%.0f" % (call.terms.limit_ms, call.terms.hold_ms)))
     if call.crashed_upstreams:
         headers.append((CRASHED, ",".join(call.crashed_upstreams).encode()))
     return headers
 
 
-def upstream_headers(call: Call, clock: Clock) -> messages.HeaderList:
-    """The headers that an upstream gets: the caller's, the deadline and the depth."""
-    headers = messages.end_to_end(call.head.headers)
-    headers.append((ATTEMPT, call.attempt_id.encode()))
-    headers.append((DEADLINE, b"%d" % call.remaining_ms(clock)))
-    headers.append((DEPTH, b"%d" % call.depth))
-    return headers
-
-
 def without_own(headers: messages.HeaderList) -> messages.HeaderList:
     """The headers without those that only nodes may set."""
     return [pair for pair in headers if not pair[0].startswith(PREFIX)]
 
 
-def match_call(headers: messages.HeaderList, book: RuleBook) -> Match | None:
-    """The rules that a call from another node names."""
-    return book.find(messages.get_text(headers, SERVICE), messages.get_text(headers, CLASS))
+def rule_header(rule: ClassRule) -> bytes:
+    """What a target needs of the rule of a call, as the sender's configuration has it.
+
+    It travels with the call, so that two nodes with different configurations treat it alike.
+    """
+    return b"%s;%d;%d;%d;%d;%d;%d;%d" % (
+        rule.name.encode(),
+        rule.idempotent,
+        rule.weight,
+        rule.priority,
+        rule.hold_ms,
+        rule.queue,
+        rule.long,
+        rule.objective_ms,
+    )
+
+
+@lru_cache(maxsize=4096)
+def _parse_rule(service: str, value: str) -> ClassRule | None:
+    fields = value.split(";")
+    try:
+        idempotent, weight, priority, hold_ms, queue, long, objective_ms = map(int, fields[1:])
+    except ValueError:
+        return None
+    return ClassRule(
+        service,
+        fields[0],
+        idempotent=bool(idempotent),
+        weight=weight,
+        priority=priority,
+        hold_ms=hold_ms,
+        queue=queue,
+        long=bool(long),
+        objective_ms=objective_ms,
+    )
+
+
+def read_terms(headers: messages.HeaderList) -> Terms:
+    """The terms of a call from another node."""
+    limit_ms, _, hold_ms = messages.get_text(headers, TERMS).partition(";")
+    try:
+        return Terms(float(limit_ms), float(hold_ms)) if limit_ms else NO_TERMS
+    except ValueError:
+        return NO_TERMS
+
+
+def match_call(headers: messages.HeaderList, book: RuleBook | None) -> Match | None:
+    """The rules that a call from another node brings; `None` where it brings none."""
+    name = messages.get_text(headers, SERVICE)
+    rule = _parse_rule(name, messages.get_text(headers, RULE))
+    if rule is None:
+        return None
+    service = None if book is None else book.service_by_name.get(name)
+    return Match(service or ServiceRule(name), rule)
 
 
 def read_int(headers: messages.HeaderList, name: bytes, default: int) -> int:
