--- a/foxtailproxy/clock.py
+++ b/foxtailproxy/clock.py
@@ -47,6 +47,36 @@
         return loop
 
 
+class WorkTimer:
+    """Calls `work` every `interval_ms` while there is work, which `wake` announces.
+
+    `work` returns whether there is more to do. A timer without work costs nothing.
+    """
+
+    def __init__(self, clock: Clock, interval_ms: float, work: Callable[[], bool]) -> None:
+        self._clock = clock
+        self._interval_ms = interval_ms
+        self._work = work
+        self._timer: Timer | None = None
+        self._closed = False
+
+    def wake(self) -> None:
+        """There is work: begin to call, unless that goes on already."""
+        if self._timer is None and not self._closed:
+            self._timer = self._clock.call_later(self._interval_ms, self._run)
+
+    def close(self) -> None:
+        """Stop for good."""
+        self._closed = True
+        cancel_timer(self._timer)
+        self._timer = None
+
+    def _run(self) -> None:
+        self._timer = None
+        if self._work():
+            self.wake()
+
+
 def cancel_timer(timer: Timer | None) -> None:
     """Cancel `timer` if it is still pending."""
     if timer is not None and timer.active():
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -13,6 +13,7 @@
 from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
 
+from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http import messages
 from foxtailproxy.http.errors import BodyTooLarge, ConnectionCut
 from foxtailproxy.http.exchange import ServerExchange
@@ -21,8 +22,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from twisted.internet.task import LoopingCall
-
     from foxtailproxy.clock import Clock
 
 log = structlog.get_logger()
@@ -87,7 +86,7 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._start_timer(self.limits.header_time_ms)
-        self.factory.connections.add(self)
+        self.factory.connected(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse what the client sent."""
@@ -346,7 +345,7 @@
         self._handler = handler
         self._limits = limits
         self._clock = clock
-        self._loop: LoopingCall | None = None
+        self._check_timer = WorkTimer(clock, TIME_CHECK_MS, self._check_times)
         self._closing = False
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
@@ -356,25 +355,26 @@
         connection.factory = self
         return connection
 
+    def connected(self, connection: ServerConnection) -> None:
+        """A client has connected: look from now on whether it takes too long."""
+        self.connections.add(connection)
+        self._check_timer.wake()
+
     def set_limits(self, limits: ServerLimits) -> None:
         """Change the bounds, also of open connections."""
         self._limits = limits
         for connection in self.connections:
             connection.limits = limits
 
-    def start(self) -> None:
-        """Begin to look for clients that take too long."""
-        self._loop = self._clock.repeat(TIME_CHECK_MS, self._check_times)
-
     def close(self) -> None:
-        """Stop looking."""
-        if self._loop is not None:
-            self._loop.stop()
+        """Stop looking for clients that take too long."""
+        self._check_timer.close()
 
-    def _check_times(self) -> None:
+    def _check_times(self) -> bool:
         now = self._clock.now_ms()
         for connection in list(self.connections):
             connection.check_time(now)
+        return bool(self.connections)
 
     def close_after_answers(self) -> None:
         """Let each connection end with its next response."""
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -192,12 +192,7 @@
         host, port = split_address(node.caller_address, node.address, node.caller_port)
         self._caller_port = listen(port, self._caller_factory, interface=host)
         self._listen_for_platform()
-        self.target.start()
-        self.peers.start()
-        self.peer_server.start()
         self.gossip.start()
-        self._caller_factory.start()
-        self._peer_factory.start()
         self._loops.append(self.clock.repeat(1000, self.claims.runs.sweep))
         self.lifecycle.started()
         ensureDeferred(self._find_upstream())  # type: ignore[arg-type]
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -10,6 +10,7 @@
 import structlog
 from expression import Error, Ok
 
+from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import ConnectFailed, ConnectionSilent, ExchangeCancelled, HttpError
 from foxtailproxy.http.messages import HeaderList, RequestHead, ResponseHead, get_header
@@ -22,8 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.task import LoopingCall
-
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
     from foxtailproxy.http.client import ClientConnection, ClientResponse
@@ -72,16 +71,11 @@
         self._pool_by_address: dict[tuple[str, int], ConnectionPool] = {}
         self._by_send: dict[str, ClientConnection] = {}
         self._longest_silence: dict[ClientConnection, float] = {}
-        self._loop: LoopingCall | None = None
-
-    def start(self) -> None:
-        """Begin to look for silent connections."""
-        self._loop = self._clock.repeat(WATCH_INTERVAL_MS, self._find_silent)
+        self._silence_timer = WorkTimer(clock, WATCH_INTERVAL_MS, self._find_silent)
 
     def close(self) -> None:
         """Close idle connections."""
-        if self._loop is not None:
-            self._loop.stop()
+        self._silence_timer.close()
         for pool in self._pool_by_address.values():
             pool.close()
 
@@ -194,6 +188,7 @@
         """Send a request and watch for silence: before the answer's head, then inside its body."""
         self._heard(connection)
         self._longest_silence[connection] = self._limits.silence_ms
+        self._silence_timer.wake()
         try:
             response = await connection.request(head, body)
         except HttpError:
@@ -226,11 +221,12 @@
     def _heard(self, connection: ClientConnection) -> None:
         connection.last_heard_ms = self._clock.now_ms()
 
-    def _find_silent(self) -> None:
+    def _find_silent(self) -> bool:
         now = self._clock.now_ms()
         for connection, longest_ms in list(self._longest_silence.items()):
             if now - connection.last_heard_ms > longest_ms:
                 connection.fail(ConnectionSilent())
+        return bool(self._longest_silence)
 
     def _pool(self, address: str, port: int) -> ConnectionPool:
         key = (address, port)
--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -10,6 +10,7 @@
 from expression import Error
 
 from foxtailproxy.call import Call
+from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import HttpError
@@ -33,8 +34,6 @@
 )
 
 if TYPE_CHECKING:
-    from twisted.internet.task import LoopingCall
-
     from foxtailproxy.clock import Clock
     from foxtailproxy.config_sync import ConfigSync
     from foxtailproxy.http.exchange import ServerExchange
@@ -44,6 +43,9 @@
 PROCESSING = 102
 """Interim status that a heartbeat is sent with."""
 
+SWEEP_MS = 1000
+"""Time between two looks for answers and runs that need not be kept any longer, in milliseconds."""
+
 ORPHAN_MS = 1500
 """Time for which a call without a connection goes on, so that its sender can ask about it."""
 
@@ -75,17 +77,13 @@
         self._config = config
         self._claims = claims
         self._open: dict[ServerExchange, str] = {}
-        self._loops: list[LoopingCall] = []
-
-    def start(self) -> None:
-        """Begin to send heartbeats and to forget old runs."""
-        self._loops.append(self._clock.repeat(self._limits.heartbeat_ms, self._send_heartbeats))
-        self._loops.append(self._clock.repeat(1000, self.attempts.sweep))
+        self._heartbeat_timer = WorkTimer(clock, limits.heartbeat_ms, self._send_heartbeats)
+        self._sweep_timer = WorkTimer(clock, SWEEP_MS, self.attempts.sweep)
 
     def close(self) -> None:
         """Stop the timers."""
-        for loop in self._loops:
-            loop.stop()
+        self._heartbeat_timer.close()
+        self._sweep_timer.close()
 
     @property
     def idle(self) -> bool:
@@ -183,6 +181,8 @@
 
     def _attach(self, exchange: ServerExchange, run: SharedRun) -> None:
         self._open[exchange] = run.run_id
+        self._heartbeat_timer.wake()
+        self._sweep_timer.wake()
         exchange.on_lost = lambda: self._exchange_lost(exchange)
         run.wait(lambda outcome: self._respond(exchange, run.run_id, outcome))
 
@@ -211,7 +211,8 @@
         if send_id not in self._open.values():
             self._target.cancel(send_id)
 
-    def _send_heartbeats(self) -> None:
+    def _send_heartbeats(self) -> bool:
         load = [(LOAD, self._target.load().to_header())]
         for exchange in self._open:
             exchange.interim(PROCESSING, load)
+        return bool(self._open)
--- a/foxtailproxy/platform/configuration.py
+++ b/foxtailproxy/platform/configuration.py
@@ -112,7 +112,7 @@
         """The version of a configuration with its text. Raises `SettingsError`."""
         version = _decode(value, _VersionOnly, CONFIG_PATH).version
         number = version.removeprefix(VERSION_PREFIX)
-        if not number.isdecimal():
+        if number == version or not number.isdecimal():
             reason = f"not {VERSION_PREFIX} and a number"
             raise SettingsError(CONFIG_PATH, [Problem("", "version", version, reason)])
         return ConfigObject(int(number), "", "operator", value)
--- a/foxtailproxy/runs.py
+++ b/foxtailproxy/runs.py
@@ -218,8 +218,8 @@
         if len(self._sealed) > SEALED_RUNS:
             del self._sealed[next(iter(self._sealed))]
 
-    def sweep(self) -> None:
-        """Forget answers past their time, and old runs."""
+    def sweep(self) -> bool:
+        """Forget answers past their time, and old runs; returns whether any are left."""
         now = self._clock.now_ms()
         while self._ended_ms_by_kept:
             if now - next(iter(self._ended_ms_by_kept.values())) < self._kept_ms:
@@ -227,6 +227,7 @@
             self._forget_oldest()
         while self._tombstones and self._tombstones[0].until_ms < now:
             self.by_id.pop(self._tombstones.popleft().run_id, None)
+        return bool(self.by_id)
 
     def _remember(self, run: SharedRun) -> None:
         now = self._clock.now_ms()
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from foxtailproxy.admission import Admission, Ticket
-from foxtailproxy.clock import cancel_timer
+from foxtailproxy.clock import WorkTimer, cancel_timer
 from foxtailproxy.dialect import Dialect, UpstreamLoad, UpstreamNote
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import (
@@ -29,8 +29,6 @@
 from foxtailproxy.wire import without_own
 
 if TYPE_CHECKING:
-    from twisted.internet.task import LoopingCall
-
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
     from foxtailproxy.http.client import ClientConnection, ClientResponse
@@ -124,18 +122,14 @@
         self._pool: ConnectionPool | None = None
         self._by_send: dict[str, RunningCall] = {}
         self._crashed: list[Call] = []
-        self._loops: list[LoopingCall] = []
+        self._sweep_timer = WorkTimer(clock, SWEEP_MS, self._sweep)
+        self._probe_timer = WorkTimer(clock, PROBE_MS, self._probe_if_down)
         self._probing = False
 
-    def start(self) -> None:
-        """Begin to look at deadlines."""
-        self._loops.append(self._clock.repeat(SWEEP_MS, self._sweep))
-        self._loops.append(self._clock.repeat(PROBE_MS, self._probe_if_down))
-
     def close(self) -> None:
         """Stop the timers and close idle connections."""
-        for loop in self._loops:
-            loop.stop()
+        self._sweep_timer.close()
+        self._probe_timer.close()
         if self._pool is not None:
             self._pool.close()
 
@@ -296,6 +290,7 @@
         ticket = Ticket(call, lambda: admitted.callback(None), admitted.callback)
         running = RunningCall(call, ticket)
         self._by_send[call.send_id] = running
+        self._sweep_timer.wake()
         refusal = await self._await_speed(running)
         if refusal is not None:
             del self._by_send[call.send_id]
@@ -511,14 +506,16 @@
             return
         log.warning("upstream_down")
         self.down = True
+        self._probe_timer.wake()
         if self._pool is not None:
             self._pool.drop_idle()
         self.admission.refuse_all(NotRunReason.TARGET_DOWN)
         self._listener.target_changed()
 
-    def _probe_if_down(self) -> None:
+    def _probe_if_down(self) -> bool:
         if self.down and not self._probing:
             ensureDeferred(self._probe())
+        return self.down
 
     async def _probe(self) -> None:
         self._probing = True
@@ -529,7 +526,7 @@
             self.down = False
             self._listener.target_changed()
 
-    def _sweep(self) -> None:
+    def _sweep(self) -> bool:
         self.admission.sweep()
         now = self._clock.now_ms()
         for running in list(self._by_send.values()):
@@ -537,3 +534,4 @@
             overdue = running.call.deadline_ms + patience_ms <= now
             if overdue and running.connection is not None:
                 running.connection.fail(DeadlinePassed())
+        return bool(self._by_send)
--- /dev/null
+++ b/foxtailproxy/tests/announcements.feature
@@ -0,0 +1,45 @@
+Feature: Announcements of the upstream, and what is remembered of a process that leaves
+
+  Scenario Outline: <case>
+    Given a target that was announced as <first>
+    When it is announced as <then>
+    Then the target is <state> of process <process>
+
+    # Instance, start in ms, sequence, and "leaving" where it takes no new work.
+    Examples:
+      | case                                             | first    | then            | state   | process |
+      | the same process once more                       | a 100 1  | a 100 2         | serving | a 100   |
+      | it leaves                                        | a 100 1  | a 100 2 leaving | leaving | a 100   |
+      | a late announcement from before it left          | a 100 5 leaving | a 100 4  | leaving | a 100   |
+      | it says that it serves after it left             | a 100 5 leaving | a 100 6  | leaving | a 100   |
+      | a new process                                    | a 100 9  | b 200 1         | serving | b 200   |
+      | a new process with the same name                 | a 100 9 leaving | a 200 1  | serving | a 200   |
+      | an old process is announced late                 | b 200 1  | a 100 9         | serving | b 200   |
+      | an old process leaves late                       | b 200 1  | a 100 9 leaving | serving | b 200   |
+      | the start becomes known of one found by a check  | a 0 0    | a 100 1         | serving | a 100   |
+      | a process found by a check leaves                | a 0 0    | a 100 1 leaving | leaving | a 100   |
+
+  Scenario Outline: The node restarts beside an upstream process <when>
+    Given peers that know the node's earlier process with a target that was <known>
+    When the restarted node finds the process <found> running
+    Then the target is <state> of process <found>
+
+    Examples:
+      | when                                 | known           | found | state   |
+      | that serves                          | a 100 1         | a 0   | serving |
+      | that left                            | a 100 1 leaving | a 0   | leaving |
+      | that left and is announced again     | a 100 1 leaving | a 100 | leaving |
+      | with the name of one that left       | a 100 1 leaving | a 200 | serving |
+      | that took the place of one that left | a 100 1 leaving | b 200 | serving |
+
+  Scenario Outline: Retries of <nodes> nodes that share a slack of <slack> in 10 s
+    Given <nodes> nodes that share a retry ratio of <percent> percent and a slack of <slack>
+    When each has <calls> calls in 10 s, every one of which asks for a retry
+    Then all nodes together send at most <most> retries, and at least one each
+
+    Examples:
+      | nodes | percent | slack | calls | most |
+      | 1     | 20      | 56    | 100   | 76   |
+      | 16    | 20      | 56    | 50    | 216  |
+      | 16    | 20      | 56    | 0     | 56   |
+      | 67    | 20      | 174   | 20    | 442  |
--- a/foxtailproxy/tests/http_sessions.py
+++ b/foxtailproxy/tests/http_sessions.py
@@ -138,7 +138,6 @@
     """Play a session and write it out."""
     clock = fake_clock()
     factory = ServerFactory(handler, LIMITS, clock)
-    factory.start()
     connection: Any = factory.buildProtocol(None)
     transport = RecordingTransport()
     connection.makeConnection(transport)
--- /dev/null
+++ b/foxtailproxy/tests/platform.feature
@@ -0,0 +1,116 @@
+Feature: The platform's interface, decoded into the product's types
+
+  Scenario Outline: A request for <host> <path> goes to <service> by route <route>
+    Given the platform's configuration
+    When the rules for host <host> and path <path> are looked up
+    Then they are of service <service> and route <route>
+
+    Examples:
+      | host              | path          | service    | route |
+      | days.example      | /days/1       | kalender   | days  |
+      | DAYS.example:8080 | /days/1       | kalender   | days  |
+      | days.example      | /days/open/1  | meistrid   | open  |
+      | days.example      | /days/opening | kalender   | days  |
+      | days.example      | /days         | none       | none  |
+      | days.example      | /other/1      | none       | none  |
+      | book.example      | /any/1        | broneering | book  |
+      | other.example     | /days/1       | none       | none  |
+
+  Scenario Outline: The rule of route <route>
+    Given the platform's configuration
+    Then the rule of <path> at <host> has <field> <value>
+
+    Examples:
+      | route | host         | path         | field        | value |
+      | days  | days.example | /days/1      | idempotent   | True  |
+      | days  | days.example | /days/1      | attempts     | 2     |
+      | days  | days.example | /days/1      | deadline_ms  | 1200  |
+      | days  | days.example | /days/1      | objective_ms | 400   |
+      | days  | days.example | /days/1      | priority     | 7     |
+      | open  | days.example | /days/open/1 | priority     | 9     |
+      | book  | book.example | /b/1         | idempotent   | False |
+
+  Scenario Outline: <count> requests share a route with weights 90 and 10
+    Given the platform's configuration
+    When <count> requests for a shared route come to <nodes> nodes
+    Then the second service gets between <least> and <most> of them
+
+    Examples:
+      | count | nodes | least | most |
+      | 300   | 1     | 29    | 31   |
+      | 300   | 16    | 15    | 45   |
+
+  Scenario Outline: A configuration with <what> is refused with a reason
+    When a configuration with <what> is read
+    Then the configuration is refused because of <reason>
+
+    Examples:
+      | what             | reason                        |
+      | no version       | missing required field        |
+      | a bare version   | not r and a number            |
+      | a listener cut   | missing required field        |
+      | bytes cut short  | Input data was truncated      |
+
+  Scenario Outline: A heartbeat with <what>
+    When a heartbeat with <what> is read
+    Then the heartbeat is <result>
+
+    Examples:
+      | what                    | result            |
+      | all fields              | an announcement   |
+      | a draining state        | a notice of leave |
+      | a field that is new     | an announcement   |
+      | no service              | malformed         |
+      | another state           | malformed         |
+      | slots as text           | malformed         |
+      | no slots at all         | malformed         |
+      | an address without port | malformed         |
+      | born as a fraction      | malformed         |
+      | bytes that are no JSON  | malformed         |
+
+  Scenario Outline: What a caller is told of <failure> with <left> ms left
+    When a caller with <left> ms left is told of <failure>
+    Then the caller gets status <status> and Retry-After <after>
+
+    Examples:
+      | failure                    | left | status | after |
+      | not-run no-target 1000     | 6000 | 503    | 1.000 |
+      | not-run no-target 1000     | 600  | 503    | 0.200 |
+      | not-run no-configuration 1 | 600  | 503    | 0.001 |
+      | not-run overloaded 50      | 600  | 503    | 0.050 |
+      | not-run quarantined 1000   | 3000 | 503    | 1.000 |
+      | not-run deadline 1000      | 0    | 503    | 0.000 |
+      | not-run unknown-service 1  | 600  | 404    | none  |
+      | unknown deadline 1         | 600  | 504    | none  |
+      | unknown upstream-lost 1    | 600  | 502    | none  |
+      | unknown peer-lost 1        | 600  | 502    | none  |
+
+  Scenario Outline: Headers of a request: <what>
+    When a request with <sent> is read at a node whose target serves kalender
+    Then the request has <result>
+
+    Examples:
+      | what                              | sent                                  | result                |
+      | the attempt id is the caller's    | attempt-id=a1                         | attempt a1            |
+      | none is given                     | timeout-ms=100                        | malformed             |
+      | the time left                     | attempt-id=a1 timeout-ms=250          | allowed 250           |
+      | no time left given                | attempt-id=a1                         | allowed None          |
+      | a time that is no number          | attempt-id=a1 timeout-ms=soon         | allowed None          |
+      | the caller's service is the own   | attempt-id=a1 caller-service=wages    | caller kalender       |
+      | callers cannot expect an instance | attempt-id=a1 expect-instance=i-1     | expect none           |
+
+  Scenario Outline: An upstream's answer <status> with <sent>
+    When an upstream answers <status> with <sent>
+    Then the answer is taken as <result>
+
+    Examples:
+      | status | sent                            | result                     |
+      | 200    | attempt-id=a1                   | run                        |
+      | 500    | attempt-id=a1                   | run                        |
+      | 503    | attempt-id=a1                   | run                        |
+      | 503    | not-executed=1                  | not run                    |
+      | 429    | not-executed=1                  | not run                    |
+      | 421    | instance-id=i-2                 | not run, another instance  |
+      | 200    | backend-load=3,1,12,400         | load 3 1 12 4.0            |
+      | 200    | backend-load=3,1,12             | load 3 1 12 1.0            |
+      | 200    | backend-load=busy               | no load                    |
--- a/foxtailproxy/tests/steps/peer_recovery.py
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -90,8 +90,6 @@
         relaying = loop.listenTCP(0, self.relay, interface="127.0.0.1")
         self.ports = [listening, relaying]
         self.member = make_member("b", address="127.0.0.1", peer_port=relaying.getHost().port)
-        self.server.start()
-        self.client.start()
 
     def close(self) -> None:
         """Close all sockets."""
--- a/foxtailproxy/tests/steps/target.py
+++ b/foxtailproxy/tests/steps/target.py
@@ -73,7 +73,6 @@
         self.clock = Clock(loop)
         self.target = Target(self.clock, loop, Quiet(), OwnDialect())
         self.target.announce(Announcement("kalender", "127.0.0.1", port, 2))
-        self.target.start()
 
     def close(self) -> None:
         """Close all sockets."""
--- /dev/null
+++ b/foxtailproxy/tests/store.feature
@@ -0,0 +1,75 @@
+Feature: The store's client against the store's stand-in
+  The sockets are real, the stand-in runs in the test's process.
+
+  Background:
+    Given a store
+
+  Scenario Outline: <call>
+    Given the object claims/a with value 1
+    When the client calls <call>
+    Then the store answers <result>
+
+    Examples:
+      | call                          | result                |
+      | read claims/a                 | value 1               |
+      | read claims/b                 | Missing               |
+      | create claims/b 2             | value 2               |
+      | create claims/a 2             | Conflict with value 1 |
+      | update claims/a 2 at its own  | value 2               |
+      | update claims/a 2 at an older | Conflict with value 1 |
+      | put claims/a 3                | value 3               |
+      | put claims/c 3                | value 3               |
+      | delete claims/a at its own    | nothing               |
+      | delete claims/a at an older   | Conflict with value 1 |
+      | delete claims/b               | Missing               |
+
+  Scenario Outline: A store that is <fault> and a <call>
+    Given the object claims/a with value 1
+    And a store that is <fault>
+    When the client calls <call>
+    Then the store answers <result>
+    And the store holds <value> in claims/a <later>
+
+    Examples:
+      | fault          | call           | result      | value | later        |
+      | out            | put claims/a 2 | Refused     | 1     | now          |
+      | busy           | put claims/a 2 | Refused     | 1     | now          |
+      | busy           | read claims/a  | Refused     | 1     | now          |
+      | silent         | read claims/a  | Unreachable | 1     | now          |
+      | losing answers | put claims/a 2 | Unreachable | 2     | now          |
+      | late           | put claims/a 2 | Unreachable | 2     | after 800 ms |
+      | slow           | put claims/a 2 | value 2     | 2     | now          |
+
+  Scenario: A listing of several pages is whole
+    Given 120 objects of the kind members
+    When the client lists the kind members
+    Then it has 120 objects, each once
+
+  Scenario Outline: A watch <when>
+    Given the object config/main with value 1
+    When the client watches config and <when>
+    Then the watch brings <result>
+
+    Examples:
+      | when                           | result           |
+      | the object is changed to 2     | changed to 2     |
+      | the object is removed          | removed          |
+      | another kind changes           | nothing          |
+      | the history was dropped before | HistoryGone      |
+      | the history is dropped         | Unreachable      |
+      | the object does not change     | nothing          |
+
+  Scenario: A configuration is read anew where the history is gone
+    Given a node's configuration from the store at generation 3
+    When the history is dropped and generation 5 is written
+    Then the node has generation 5 within 3000 ms
+
+  Scenario Outline: A configuration of <content> leaves the one in force
+    Given a node's configuration from the store at generation 3
+    When <content> is written as the configuration
+    Then the node has generation 3 after 600 ms
+
+    Examples:
+      | content             |
+      | unreadable bytes    |
+      | an older generation |
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -99,7 +99,7 @@
         self.revision = 1
         self.events: list[Event] = []
         self.oldest = 1
-        self.waiting: list[tuple[str, Deferred[None]]] = []
+        self.waiting: list[tuple[str, Deferred[bool]]] = []
 
     def of_kind(self, kind: str, after: str) -> list[Stored]:
         """The objects of a kind whose names come after `after`."""
@@ -138,7 +138,7 @@
         self.oldest = self.revision + 1
         waiting, self.waiting = self.waiting, []
         for _, done in waiting:
-            done.callback(None)
+            done.callback(True)
 
     def _note(self, kind: str, stored: Stored, deleted: bool) -> None:
         self.events.append(Event(self.revision, kind, stored, deleted))
@@ -146,7 +146,7 @@
         woken = [done for k, done in self.waiting if k == kind]
         self.waiting = [(k, done) for k, done in self.waiting if k != kind]
         for done in woken:
-            done.callback(None)
+            done.callback(False)
 
 
 def _same(known: Stored, written: Stored) -> bool:
@@ -279,16 +279,16 @@
             return self._answer(request, 410, None)
         if self.store.since(kind, after) or self.faults.outage:
             return self._answer(request, 200, self._changes(kind, after))
-        changed: Deferred[None] = Deferred()
+        changed: Deferred[bool] = Deferred()
         waiting = (kind, changed)
         self.store.waiting.append(waiting)
         loop: Any = reactor
         timer = loop.callLater(wait_s, self._end_wait, waiting)
 
-        def answer(_: None) -> Any:
+        def answer(cut: bool) -> Any:
             if timer.active():
                 timer.cancel()
-            if after + 1 < self.store.oldest:
+            if cut:
                 request.transport.abortConnection()
                 return Deferred()
             return self._answer(request, 200, self._changes(kind, after))
@@ -305,7 +305,7 @@
     def _end_wait(self, waiting: tuple[str, Deferred[None]]) -> None:
         if waiting in self.store.waiting:
             self.store.waiting.remove(waiting)
-            waiting[1].callback(None)
+            waiting[1].callback(False)
 
     @app.route("/faults", methods=["POST"])
     def set_faults(self, request: Any) -> bytes:
