--- a/foxtailproxy/tests/fakes.py
+++ b/foxtailproxy/tests/fakes.py
@@ -85,6 +85,19 @@
     return Ok(Answer(ResponseHead(status, b"OK", []), BodyStream.of(text)))
 
 
+class QuietListener:
+    """Listens to a target and does nothing."""
+
+    def target_changed(self) -> None:
+        """Not of interest."""
+
+    def target_crashed(self, calls: list[Call]) -> None:
+        """Not of interest."""
+
+    def call_completed(self, call: Call) -> None:
+        """Not of interest."""
+
+
 @dataclass
 class PlatformFaults:
     """Shares of writes that go wrong, and whether the platform is out."""
--- a/foxtailproxy/tests/routing.feature
+++ b/foxtailproxy/tests/routing.feature
@@ -63,3 +63,31 @@
   Scenario: Retries are a share of the calls
     When 1000 calls earn 10 percent and each asks for a retry
     Then between 100 and 121 retries are allowed
+
+  Scenario Outline: Targets that report their speed: <case>
+    Given a node whose own target serves another service
+    And near peers with slowness <n1> and <n2>, and a far one with <far>
+    When a call with 400 ms left is placed <age> ms later, and <declined> handed it back
+    Then it goes to <target> with <terms>
+
+    # The usual run time is 100 ms, the objective 400 ms.
+    Examples:
+      | case                               | n1 | n2 | far | age | declined | target | terms              |
+      | the fast one near                  | 1  | 4  | 1   | 0   | nobody   | n1     | a limit above 100  |
+      | the other fast one near            | 4  | 1  | 1   | 0   | nobody   | n2     | a limit above 100  |
+      | both slow near, a fast one far     | 4  | 4  | 1   | 0   | nobody   | far    | a limit above 100  |
+      | all slow, all asked                | 4  | 4  | 4   | 0   | all      | n1     | a hold of 250 ms   |
+      | an old report is worth little      | 4  | 1  | 4   | 5000 | nobody  | any    | a limit above 100  |
+
+  Scenario Outline: A target with slowness <slowness> now gets a call <terms>
+    Given a target whose upstream reports slowness <slowness> now and <later> from its second report
+    When a call comes <terms>
+    Then it ends there as <outcome> within <within> ms
+
+    Examples:
+      | slowness | later | terms                     | outcome                  | within |
+      | 1        | 1     | with a limit of 200 ms    | answered                 | 80     |
+      | 4        | 4     | with a limit of 200 ms    | not-run faster-elsewhere | 80     |
+      | 4        | 4     | with no limit and no hold | answered                 | 80     |
+      | 4        | 1     | with a hold of 300 ms     | answered                 | 150    |
+      | 4        | 4     | with a hold of 300 ms     | answered                 | 500    |
--- a/foxtailproxy/tests/steps/announcements.py
+++ b/foxtailproxy/tests/steps/announcements.py
@@ -6,31 +6,17 @@
 
 from behave import given, then, when
 
-from foxtailproxy.call import Call
 from foxtailproxy.dialect import OwnDialect
 from foxtailproxy.membership import MemberTable
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.target import Target
-from foxtailproxy.tests.fakes import advance, fake_clock, make_member
+from foxtailproxy.tests.fakes import QuietListener, advance, fake_clock, make_member
 
 STEPS = 50
 WINDOW_MS = 10_000
 
 
-class Quiet:
-    """Listens to a target and does nothing."""
-
-    def target_changed(self) -> None:
-        """Not of interest."""
-
-    def target_crashed(self, calls: list[Call]) -> None:
-        """Not of interest."""
-
-    def call_completed(self, call: Call) -> None:
-        """Not of interest."""
-
-
 def read_announcement(text: str) -> Announcement:
     """An announcement as the tables write it."""
     words = text.split()
@@ -49,7 +35,7 @@
 def new_target() -> Target:
     """A target without an announcement."""
     clock = fake_clock()
-    return Target(clock, clock.source, Quiet(), OwnDialect())
+    return Target(clock, clock.source, QuietListener(), OwnDialect())
 
 
 @given("a target that was announced as {text}")
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -2,18 +2,35 @@
 
 from __future__ import annotations
 
+import math
 import random
+import time
 from typing import Any
 
 from behave import given, then, when
 from expression import Error
+from twisted.internet import reactor, threads
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.protocol import Factory, Protocol
 
+from foxtailproxy.clock import Clock
 from foxtailproxy.entry import retriable
 from foxtailproxy.load import Load
+from foxtailproxy.models.messages import Announcement
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from foxtailproxy.platform.dialect import PlatformDialect
 from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.routing import LocalChoice, Router
-from foxtailproxy.tests.fakes import advance, fake_clock, make_answer, make_call, make_member
+from foxtailproxy.target import Target
+from foxtailproxy.terms import Terms
+from foxtailproxy.tests.fakes import (
+    QuietListener,
+    advance,
+    fake_clock,
+    make_answer,
+    make_call,
+    make_member,
+)
 
 SLOTS = 10
 PEERS = ("n1", "n2", "far")
@@ -145,3 +162,111 @@
 @then("between {least:d} and {most:d} retries are allowed")
 def step_allowed(context: Any, least: int, most: int) -> None:
     assert least <= context.allowed <= most, context.allowed
+
+
+USUAL_MS = 100.0
+
+
+@given("a node whose own target serves another service")
+def step_other_service(context: Any) -> None:
+    step_own(context, "-")
+
+
+@given("near peers with slowness {first:d} and {second:d}, and a far one with {far:d}")
+def step_speeds(context: Any, first: int, second: int, far: int) -> None:
+    for name, slowness in zip(PEERS, (first, second, far), strict=True):
+        region = "louna" if name == "far" else "pohja"
+        context.router.member_changed(make_member(name, region=region, slots=SLOTS))
+        runs = {"lookup": USUAL_MS}
+        context.router.observe(
+            name, Load(0, 0, SLOTS, USUAL_MS, USUAL_MS, {}, runs, float(slowness))
+        )
+
+
+@when("a call with {left:d} ms left is placed {age:d} ms later, and {declined} handed it back")
+def step_place_speed(context: Any, left: int, age: int, declined: str) -> None:
+    advance(context.clock, age)
+    match = make_call(context.clock, rule={"objective_ms": 400}).match
+    names = frozenset(PEERS if declined == "all" else ())
+    context.choice = context.router.choose(match, set(), 100, names, left)
+
+
+@then("it goes to {target} with {terms}")
+def step_terms(context: Any, target: str, terms: str) -> None:
+    chosen = context.choice.view.member.node_id
+    assert target in ("any", chosen), chosen
+    seen = context.choice.terms
+    words = terms.split()
+    if "limit" in words:
+        assert USUAL_MS <= seen.limit_ms < 5 * USUAL_MS and not seen.hold_ms, seen
+    else:
+        assert (seen.hold_ms, math.isinf(seen.limit_ms)) == (float(words[3]), True), seen
+
+
+class SpeedUpstream(Protocol):
+    """Answers calls at once; its health check tells a slowness that may change."""
+
+    transport: Any = None
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Answer a request, which fits in one packet."""
+        slowness = self.factory.slowness
+        if data.startswith(b"GET /healthz"):
+            self.factory.checks += 1
+            slowness = slowness if self.factory.checks == 1 else self.factory.later
+        load = b"x-foxtailproxy-backend-load: 1,0,12,%d\r\n" % (slowness * 100)
+        self.transport.write(b"HTTP/1.1 200 OK\r\n" + load + b"content-length: 2\r\n\r\nok")
+
+
+class SpeedTarget:
+    """A target whose upstream reports its speed."""
+
+    def __init__(self, slowness: int, later: int) -> None:
+        loop: Any = reactor
+        self.factory: Any = Factory.forProtocol(SpeedUpstream)
+        self.factory.noisy = False
+        self.factory.slowness, self.factory.later, self.factory.checks = slowness, later, 0
+        self.listening = loop.listenTCP(0, self.factory, interface="127.0.0.1")
+        self.clock = Clock(loop)
+        self.target = Target(self.clock, loop, QuietListener(), PlatformDialect("kalender"))
+        port = self.listening.getHost().port
+        self.target.announce(Announcement("kalender", "127.0.0.1", port, 12, instance="i-1"))
+        times, speed = self.target.admission.run_times, self.target.admission.slowness
+        times.record("lookup", USUAL_MS, 1.0)
+        # An old report: the upstream is to be asked.
+        speed.observe(1.0, 10_000)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        threads.blockingCallFromThread(reactor, self._close)
+
+    def _close(self) -> None:
+        self.target.close()
+        self.listening.stopListening()
+
+
+@given("a target whose upstream reports slowness {now:d} now and {later:d} from its second report")
+def step_speed_target(context: Any, now: int, later: int) -> None:
+    context.live = threads.blockingCallFromThread(reactor, SpeedTarget, now, later)
+
+
+@when("a call comes with {terms}")
+def step_call_terms(context: Any, terms: str) -> None:
+    one = context.live
+    words = terms.split()
+    number = float(words[3]) if words[0] == "a" else 0.0
+    call = make_call(one.clock, rule={"objective_ms": 400})
+    call.terms = Terms(limit_ms=number) if words[1] == "limit" and number else Terms(hold_ms=number)
+    begun_s = time.monotonic()
+    context.outcome = threads.blockingCallFromThread(
+        reactor, lambda: ensureDeferred(one.target.run(call))
+    )
+    context.elapsed_ms = (time.monotonic() - begun_s) * 1000
+
+
+@then("it ends there as {expected} within {within:d} ms")
+def step_ends_there(context: Any, expected: str, within: int) -> None:
+    outcome = context.outcome
+    seen = "answered" if outcome.is_ok() else f"not-run {outcome.error.reason}"
+    assert seen == expected, outcome
+    assert context.elapsed_ms <= within, context.elapsed_ms
--- a/foxtailproxy/tests/steps/target.py
+++ b/foxtailproxy/tests/steps/target.py
@@ -9,12 +9,11 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.protocol import Factory, Protocol
 
-from foxtailproxy.call import Call
 from foxtailproxy.clock import Clock
 from foxtailproxy.dialect import OwnDialect
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.target import Target
-from foxtailproxy.tests.fakes import make_call
+from foxtailproxy.tests.fakes import QuietListener, make_call
 from standins.fleet import free_ports
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -44,19 +43,6 @@
             self.transport.write(REFUSAL if "refuses" in self.factory.habit else ANSWER)
 
 
-class Quiet:
-    """Listens to a target and does nothing."""
-
-    def target_changed(self) -> None:
-        """Not of interest."""
-
-    def target_crashed(self, calls: list[Call]) -> None:
-        """Not of interest."""
-
-    def call_completed(self, call: Call) -> None:
-        """Not of interest."""
-
-
 class OneTarget:
     """A target and its upstream."""
 
@@ -71,7 +57,7 @@
         if habit != "does not listen":
             self.listening = loop.listenTCP(port, self.factory, interface="127.0.0.1")
         self.clock = Clock(loop)
-        self.target = Target(self.clock, loop, Quiet(), OwnDialect())
+        self.target = Target(self.clock, loop, QuietListener(), OwnDialect())
         self.target.announce(Announcement("kalender", "127.0.0.1", port, 2))
 
     def close(self) -> None:
