--- a/foxtailproxy/call.py
+++ b/foxtailproxy/call.py
@@ -15,6 +15,7 @@
     from foxtailproxy.clock import Clock
     from foxtailproxy.http.messages import RequestHead
     from foxtailproxy.models.rules import ClassRule, ServiceRule
+    from foxtailproxy.routing import Choice
 
 MAX_DEPTH = 16
 """Calls that may stand behind one another; more is taken as a loop."""
@@ -46,6 +47,7 @@
     caller_deadline_ms: float = 0.0
     received_ms: float = 0.0
     terms: Terms = NO_TERMS
+    last_choice: Choice | None = None
     crashed_upstreams: list[str] = field(default_factory=list)
     attempt_id: str = field(default_factory=lambda: new_id())
     send_number: int = 0
--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -8,6 +8,7 @@
 from expression import Error
 from twisted.internet.defer import ensureDeferred
 
+from foxtailproxy import events
 from foxtailproxy.call import MAX_DEPTH, Call, new_id
 from foxtailproxy.claims import unchecked
 from foxtailproxy.clock import cancel_timer
@@ -168,7 +169,14 @@
         attempt_id, allowed_ms = "", None
         if isinstance(request, CallerRequest):
             attempt_id, allowed_ms = request.attempt_id, request.allowed_ms
-        log.info("call_refused", attempt=attempt_id, reason=refusal.reason)
+        head = exchange.head
+        events.call_refused(
+            attempt_id,
+            refusal.reason,
+            messages.get_text(head.headers, b"host"),
+            head.target.decode("latin-1"),
+            self._config.mark()[0],
+        )
         failure = refusal_of(exchange.head.headers, refusal)
         left_ms = refusal.retry_after_ms if allowed_ms is None else allowed_ms
         exchange.respond(*self._dialect.failure(failure, attempt_id or new_id(), left_ms))
@@ -188,18 +196,10 @@
     def note(self, call: Call, outcome: Outcome, started_ms: float) -> None:
         """Count and log a call that has ended."""
         elapsed = self.clock.now_ms() - started_ms
-        word = outcome_word(outcome)
+        word = events.outcome_word(outcome)
         self._metrics.record(call.class_key, call.tenant, word, elapsed)
         if self._log_calls:
-            reason = "" if outcome.is_ok() else outcome.error.reason
-            log.info(
-                "call",
-                attempt=call.attempt_id,
-                rule=call.class_key,
-                outcome=word,
-                reason=reason,
-                ms=round(elapsed, 3),
-            )
+            events.call_ended(call, outcome, elapsed, call.last_choice, self._config.mark()[0])
 
     # Receiving
 
@@ -312,7 +312,9 @@
             call.send_number = number
             outcome = await self._send(choice, call)
             place = choice.view.member.node_id if isinstance(choice, PeerChoice) else LOCAL_ID
-            self._log_send(call, place, outcome, number)
+            call.last_choice = choice
+            if outcome.is_error() and self._log_calls:
+                events.send_failed(call, choice, outcome, call.remaining_ms(self.clock))
             if handed_back(outcome):
                 declined.add(place)
                 continue
@@ -331,20 +333,6 @@
             return Error(uncertain)
         return outcome
 
-    def _log_send(self, call: Call, place: str, outcome: Outcome, number: int) -> None:
-        """Log a send that did not bring an answer, which the next decision follows from."""
-        if outcome.is_ok() or not self._log_calls:
-            return
-        log.info(
-            "send_failed",
-            attempt=call.attempt_id,
-            target=place or "own",
-            number=number,
-            outcome=outcome_word(outcome),
-            reason=outcome.error.reason,
-            left_ms=round(call.remaining_ms(self.clock)),
-        )
-
     def _choose(self, call: Call, tried: set[str], declined: frozenset[str]) -> Choice | None:
         if call.crashed_upstreams:
             return self._router.choose_for_suspect(call)
@@ -439,10 +427,3 @@
     if isinstance(failure, NotRun):
         return failure.reason in FAULT_REASONS
     return failure.reason is not UnknownReason.CANCELLED
-
-
-def outcome_word(outcome: Outcome) -> str:
-    """The outcome in one word, for logs and counters."""
-    if outcome.is_ok():
-        return "answered"
-    return "not-run" if isinstance(outcome.error, NotRun) else "unknown"
--- /dev/null
+++ b/foxtailproxy/events.py
@@ -0,0 +1,109 @@
+"""The log lines about requests: one function for each kind of decision.
+
+Each line names the request by its attempt id, the inputs of the decision with their age, and the
+outcome. The caller's node writes `call` and `send_failed`, the target's node `run`.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from foxtailproxy.outcome import NotRun, Outcome
+
+if TYPE_CHECKING:
+    from foxtailproxy.call import Call
+    from foxtailproxy.routing import Choice
+
+log = structlog.get_logger()
+
+OWN_TARGET = "own"
+
+
+def outcome_word(outcome: Outcome) -> str:
+    """The outcome in one word, for logs and counters."""
+    if outcome.is_ok():
+        return "answered"
+    return "not-run" if isinstance(outcome.error, NotRun) else "unknown"
+
+
+def reason_of(outcome: Outcome) -> str:
+    """Why there is no answer, or the status of the one there is."""
+    return str(outcome.ok.head.status) if outcome.is_ok() else str(outcome.error.reason)
+
+
+def call_ended(
+    call: Call, outcome: Outcome, elapsed_ms: float, choice: Choice | None, generation: int
+) -> None:
+    """A caller got its outcome; `choice` is the last target that was chosen."""
+    log.info(
+        "call",
+        attempt=call.attempt_id,
+        rule=call.class_key,
+        config=generation,
+        outcome=outcome_word(outcome),
+        reason=reason_of(outcome),
+        ms=round(elapsed_ms, 1),
+        left_ms=round(call.deadline_ms - call.received_ms - elapsed_ms),
+        sends=call.send_number + 1 if choice is not None else 0,
+        **_basis(choice),
+    )
+
+
+def call_refused(attempt_id: str, reason: str, host: str, path: str, generation: int) -> None:
+    """A request did not become a call."""
+    log.info(
+        "call_refused",
+        attempt=attempt_id,
+        reason=reason,
+        host=host,
+        path=path[:100],
+        config=generation,
+    )
+
+
+def send_failed(call: Call, choice: Choice, outcome: Outcome, left_ms: float) -> None:
+    """A target did not answer a call; what follows is decided from this."""
+    log.info(
+        "send_failed",
+        attempt=call.attempt_id,
+        number=call.send_number,
+        outcome=outcome_word(outcome),
+        reason=reason_of(outcome),
+        left_ms=round(left_ms),
+        **_basis(choice),
+    )
+
+
+def run_ended(
+    call: Call, outcome: Outcome, waited_ms: float, ran_ms: float, slowness: float
+) -> None:
+    """The target beside this node ran a call, or turned it away after `waited_ms`."""
+    log.info(
+        "run",
+        attempt=call.attempt_id,
+        number=call.send_number,
+        rule=call.class_key,
+        outcome=outcome_word(outcome),
+        reason=reason_of(outcome),
+        waited_ms=round(waited_ms, 1),
+        ran_ms=round(ran_ms, 1),
+        slowness=round(slowness, 2),
+        limit_ms=round(call.terms.limit_ms, 1),
+        hold_ms=round(call.terms.hold_ms),
+    )
+
+
+def _basis(choice: Choice | None) -> dict[str, object]:
+    """What a choice was made from."""
+    if choice is None:
+        return {"target": "none"}
+    basis = choice.basis
+    return {
+        "target": basis.target or OWN_TARGET,
+        "expected_ms": round(basis.expected_ms),
+        "report_age_ms": round(basis.report_age_ms),
+        "limit_ms": round(choice.terms.limit_ms, 1),
+        "hold_ms": round(choice.terms.hold_ms),
+    }
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -103,7 +103,7 @@
         adapted = self.settings.platform.adapter
         upstream = self.settings.upstream
         dialect = PlatformDialect(upstream.service) if adapted else OwnDialect()
-        self.target = Target(clock, reactor, self, dialect, upstream)
+        self.target = Target(clock, reactor, self, dialect, upstream, self.settings.node.log_calls)
         self.router = Router(
             clock,
             self.table.me.node_id,
@@ -454,6 +454,15 @@
         )
 
     def _member_changed(self, record: MemberRecord) -> None:
+        log.info(
+            "member_changed",
+            member=record.node_id,
+            state=record.state,
+            incarnation=record.incarnation,
+            service=record.service,
+            instance=record.instance,
+            target_left=record.target_left,
+        )
         self.router.member_changed(record)
         if record.state is MemberState.dead:
             self.peers.forget(record)
--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -121,6 +121,7 @@
 
     def __init__(self, reactor: Any, settings: PlatformSection) -> None:
         self.counters = StoreCounters()
+        self._lost = False
         self._url = settings.url
         self._timeout_s = settings.timeout_ms / MS_PER_SECOND
         pool = HTTPConnectionPool(reactor)
@@ -209,9 +210,13 @@
         self, method: str, path: str, data: bytes | None, extra_s: float = 0.0
     ) -> Result[bytes, StoreFailure]:
         result = await self._exchange(method, path, data, self._timeout_s + extra_s)
-        if result.is_error() and isinstance(result.error, Refused | Unreachable):
+        failed = result.is_error() and isinstance(result.error, Refused | Unreachable)
+        if failed:
             self.counters.failures += 1
             log.warning("store_call_failed", method=method, path=path, failure=repr(result.error))
+        if failed != self._lost:
+            self._lost = failed
+            log.warning("store_lost" if failed else "store_regained")
         return result
 
     async def _exchange(
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -123,11 +123,27 @@
         return 0.5 ** (age_ms / half_life_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class Basis:
+    """What a choice was made from: the expected time, and the age of the report on the speed.
+
+    `target` is the node beside the target, empty for the own one; the age is -1 without a report.
+    """
+
+    target: str = ""
+    expected_ms: float = 0.0
+    report_age_ms: float = -1.0
+
+
+NO_BASIS = Basis()
+
+
 @dataclass(frozen=True, slots=True)
 class LocalChoice:
     """Run the call at this node's own target."""
 
     terms: Terms = NO_TERMS
+    basis: Basis = NO_BASIS
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +152,7 @@
 
     view: TargetView
     terms: Terms = NO_TERMS
+    basis: Basis = NO_BASIS
 
 
 Choice = LocalChoice | PeerChoice
@@ -235,14 +252,20 @@
             return None
         others = [view for view in (*near, *far) if view is not best]
         terms = self._terms(best, others, local and best is not None, match, declined, left_ms)
-        return self._chosen(best, terms)
+        return self._chosen(best, terms, match)
 
-    def _chosen(self, best: TargetView | None, terms: Terms) -> Choice:
+    def _chosen(self, best: TargetView | None, terms: Terms, match: Match) -> Choice:
         """The choice of a peer, or of the own target where `best` is `None`."""
         health = self.local_health if best is None else best.health
         if health.ejected:
             health.begin_trial()
-        return LocalChoice(terms) if best is None else PeerChoice(best, terms)
+        if best is None:
+            load = self._target.load()
+            age_ms = load.slowness_age_ms if load.slowness else -1.0
+            return LocalChoice(terms, Basis("", self._local_ms(match), age_ms))
+        age_ms = best.slowness.age_ms if best.slowness.known else -1.0
+        expected_ms = best.time_ms(match.rule.name)
+        return PeerChoice(best, terms, Basis(best.member.node_id, expected_ms, age_ms))
 
     def _terms(
         self,
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from foxtailproxy import events
 from foxtailproxy.admission import Admission, Ticket
 from foxtailproxy.clock import WorkTimer, cancel_timer
 from foxtailproxy.dialect import Dialect, UpstreamLoad, UpstreamNote
@@ -103,11 +104,13 @@
         listener: TargetListener,
         dialect: Dialect,
         settings: UpstreamSection | None = None,
+        log_calls: bool = True,
     ) -> None:
         settings = settings or UpstreamSection()
         self.announcement: Announcement | None = None
         self.leaving = False
         self._dialect = dialect
+        self._log_calls = log_calls
         self._slot_percent = settings.slot_percent
         self._reuse_idle_ms = settings.reuse_idle_ms
         self.health_path = "/healthz"
@@ -283,12 +286,26 @@
 
     async def run(self, call: Call) -> Outcome:
         """Run a call once a slot is free."""
+        entered_ms = self._clock.now_ms()
+        running: list[RunningCall] = []
+        outcome = await self._run(call, running)
+        if self._log_calls:
+            ended_ms = self._clock.now_ms()
+            started_ms = running[0].ticket.started_ms if running else -1.0
+            began_ms = started_ms if started_ms >= 0 else ended_ms
+            events.run_ended(
+                call, outcome, began_ms - entered_ms, ended_ms - began_ms, self.slowness()
+            )
+        return outcome
+
+    async def _run(self, call: Call, entered: list[RunningCall]) -> Outcome:
         refusal = self._refusal(call)
         if refusal is not None:
             return Error(refusal)
         admitted: Deferred[NotRun | None] = Deferred()
         ticket = Ticket(call, lambda: admitted.callback(None), admitted.callback)
         running = RunningCall(call, ticket)
+        entered.append(running)
         self._by_send[call.send_id] = running
         self._sweep_timer.wake()
         refusal = await self._await_speed(running)
@@ -423,7 +440,7 @@
         if not call.rule.idempotent or not call.replayable or self._pool is None:
             return Error(failure)
         self._pool.drop_idle()
-        return await self.run(call)
+        return await self._run(call, [])
 
     def _answered(self, running: RunningCall, response: ClientResponse) -> Outcome:
         note = self._dialect.read_upstream(response.head)
