Catch up with near nodes at start; hold before crossing regions; accept callers until drained

A node now compares with two near ones four times in its first second.

Calls that the target makes while its node is being stopped met a closed port 2 s after SIGTERM; it stays open until the last call has ended.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -153,6 +153,8 @@
             "platform_reads": self._node.store.counters.reads,
             "platform_writes": self._node.store.counters.writes,
             "platform_watches": self._node.store.counters.watches,
+            "platform_failures": self._node.store.counters.failures,
+            "speed_checks": self._node.target.speed_checks,
             "retries": self._node.metrics.retries,
         }
 
--- a/foxtailproxy/comparison.py
+++ b/foxtailproxy/comparison.py
@@ -26,6 +26,9 @@
 """Share of the comparisons that go to nodes taken for dead, which may live on the other side of
 a cut that has healed."""
 
+CATCH_UP_NODES = 2
+"""Nodes that a new process compares with at once."""
+
 RECORDS_PER_PACKET = 6
 RANKS_HOP = 1
 FINAL_RANKS_HOP = 2
@@ -63,9 +66,19 @@
         if chosen:
             self.compare(self._rng.choice(chosen))
 
-    def compare(self, member: MemberRecord) -> None:
-        """Begin a comparison with another node."""
-        self._socket.send(member, self.hashes())
+    def compare(self, member: MemberRecord, urgent: bool = False) -> None:
+        """Begin a comparison with another node; an `urgent` one may take from the next budget."""
+        self._socket.send(member, self.hashes(), urgent)
+
+    def catch_up(self) -> None:
+        """Compare with a few near nodes at once: a new process knows only what is registered."""
+        me = self._table.me
+        others = [other for other in self._table.others() if other.region == me.region]
+        near = [other for other in others if other.data_center == me.data_center]
+        for member in self._rng.sample(near, min(CATCH_UP_NODES, len(near))):
+            self.compare(member, urgent=True)
+        if not near and others:
+            self.compare(self._rng.choice(others), urgent=True)
 
     def compare_with_address(self, address: Address) -> None:
         """Begin a comparison with a node of which only the address is known."""
--- a/foxtailproxy/gossip_socket.py
+++ b/foxtailproxy/gossip_socket.py
@@ -93,16 +93,18 @@
             self.last_heard_ms = self._clock.now_ms()
             self._on_packet(packet, (addr[0], addr[1]))
 
-    def send(self, member: MemberRecord, packet: GossipPacket) -> bool:
+    def send(self, member: MemberRecord, packet: GossipPacket, urgent: bool = False) -> bool:
         """Send a packet to a node; `False` where the budget does not allow it."""
         paid = member.region != self._table.me.region
-        return self._write((member.address, member.gossip_port), packet, paid)
+        return self._write((member.address, member.gossip_port), packet, paid, urgent)
 
     def send_to(self, address: Address, packet: GossipPacket) -> bool:
         """Send a packet to an address; `False` where the budget does not allow it."""
         return self._write(address, packet, self._is_paid(address))
 
-    def _write(self, address: Address, packet: GossipPacket, paid: bool) -> bool:
+    def _write(
+        self, address: Address, packet: GossipPacket, paid: bool, urgent: bool = False
+    ) -> bool:
         if self.transport is None:
             return False
         generation, change = self._config_mark()
@@ -110,7 +112,7 @@
             replace(packet, config_generation=generation, config_change=change)
         )
         size = len(data) + PACKET_OVERHEAD_BYTES
-        if not self._spend(size, packet, paid):
+        if not self._spend(size, packet, paid, urgent or packet.kind is PacketKind.push):
             self.counters.skipped_packets += 1
             return False
         self.counters.sent_packets += 1
@@ -120,7 +122,7 @@
         self.transport.write(data, address)
         return True
 
-    def _spend(self, size: int, packet: GossipPacket, paid: bool) -> bool:
+    def _spend(self, size: int, packet: GossipPacket, paid: bool, urgent: bool) -> bool:
         """Whether the budgets allow a packet."""
         budgets = [self.paid_budget, self.budget] if paid else [self.budget]
         if packet.kind is PacketKind.push and packet.crashes:
@@ -128,7 +130,7 @@
             for budget in budgets:
                 budget.charge(size)
             return True
-        return all(budget.spend(size, packet.kind is PacketKind.push) for budget in budgets)
+        return all(budget.spend(size, urgent) for budget in budgets)
 
     def _is_paid(self, address: Address) -> bool:
         for record in self._table.by_id.values():
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -62,6 +62,11 @@
 
 DRAIN_CHECK_MS = 50
 
+CATCH_UP_ROUNDS = 4
+CATCH_UP_PAUSE_MS = 250
+"""Comparisons that a new process begins in its first second, and the time between them; a datagram
+may be lost, and others may have started at the same moment."""
+
 MS_PER_SECOND = 1000
 
 STOP_RESERVE_MS = 400
@@ -251,6 +256,9 @@
             await self.clock.sleep(REGISTER_RETRY_MS)
         self.config.start()
         self._spread_me()
+        for _ in range(CATCH_UP_ROUNDS):
+            self.gossip.comparison.catch_up()
+            await self.clock.sleep(CATCH_UP_PAUSE_MS)
         await self._keep_registered()
 
     def _compare_with_seeds(self) -> None:
@@ -328,14 +336,9 @@
         if self._registered and not self.target.process_gone:
             path = f"{MEMBER_KIND}/{self.table.me.node_id}"
             ensureDeferred(self.store.delete(path, None))  # type: ignore[arg-type]
-        self.clock.call_later(self.settings.limits.leaving_notice_ms, self._stop_accepting)
+        self.clock.call_later(self.settings.limits.leaving_notice_ms, self._close_when_drained)
         return self.core.closed
 
-    def _stop_accepting(self) -> None:
-        self._stopped = [maybeDeferred(self._caller_port.stopListening)]
-        self._caller_factory.close_idle()
-        self._close_when_drained()
-
     def _close_when_drained(self) -> None:
         waited = self.clock.now_ms() - self._drain_started_ms
         if not self._idle() and waited < self._drain_limit_ms():
@@ -362,6 +365,10 @@
         )
 
     async def _close(self) -> None:
+        # The upstream may make calls of its own until its last one has ended, so callers are
+        # accepted until then.
+        self._stopped = [maybeDeferred(self._caller_port.stopListening)]
+        self._caller_factory.close_idle()
         for loop in self._loops:
             loop.stop()
         self._spread_me(state=MemberState.dead)
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -12,7 +12,7 @@
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import MemberState
 from foxtailproxy.models.settings import LinksSection
-from foxtailproxy.speed import Slowness
+from foxtailproxy.speed import SPEED_MEMORY_MS, Slowness
 from foxtailproxy.terms import NO_TERMS, Terms
 
 if TYPE_CHECKING:
@@ -51,6 +51,9 @@
 SLOW_FACTOR = 1.5
 """A target that takes so many times longer than usual may be faster in a moment."""
 
+USUAL_SHARE = 0.3
+"""Usual run time of a class that was not seen yet, as a share of its objective."""
+
 HOLD_RESERVE = 1.5
 """Part of the objective, in usual run times, that is left for the run when a call is held."""
 
@@ -280,6 +283,7 @@
         name = match.rule.name
         chosen_id = LOCAL_ID if best is None else best.member.node_id
         usual_ms = self._usual_local_ms(match) if best is None else best.usual_ms(name)
+        usual_ms = usual_ms or match.rule.objective_ms * USUAL_SHARE
         if not usual_ms:
             return NO_TERMS
         times = [
@@ -400,12 +404,21 @@
             return load.wait_ms(match.rule.name) + load.typical_ms
         return load.wait_ms(match.rule.name) + usual_ms * load.drag * self._target.slowness()
 
+    @staticmethod
+    def _held_ms(view: TargetView, match: Match) -> float:
+        """Expected time at a target that may hold the call until its instance is fast again."""
+        time_ms = view.time_ms(match.rule.name)
+        usual_ms = view.usual_ms(match.rule.name)
+        if not usual_ms:
+            return time_ms
+        held_ms = view.wait_ms(match.rule.name) + usual_ms + SPEED_MEMORY_MS
+        return min(time_ms, held_ms) if held_ms < match.rule.objective_ms else time_ms
+
     def _overflows(self, near: TargetView | None, far: TargetView, match: Match, size: int) -> bool:
         name = match.rule.name
         if near is not None:
-            near_ms = (
-                near.time_ms(name) + self._distance_ms(near) + self._cost_ms(near, match, size)
-            )
+            near_ms = self._held_ms(near, match) + self._distance_ms(near)
+            near_ms += self._cost_ms(near, match, size)
             extra_ms = self._distance_ms(far) + self._cost_ms(far, match, size)
             if near_ms <= far.time_ms(name) + extra_ms:
                 return False
--- a/foxtailproxy/speed.py
+++ b/foxtailproxy/speed.py
@@ -18,6 +18,13 @@
 FIRST_MEAN = 1.5
 """Mean slowness before any report; shared instances are rarely idle."""
 
+SLOW_RATIO = 1.5
+"""A target is slow for the moment where work takes so many times longer than at its best lately.
+One that is cold after its start is not: waiting for some hundred milliseconds does not help."""
+
+BEST_MEMORY_MS = 2000.0
+"""Time in which the best speed of late loses two thirds of its weight."""
+
 RUN_WEIGHT = 0.05
 """Weight of the newest call in the usual run time of its class."""
 
@@ -42,6 +49,7 @@
         self._clock = clock
         self._reported_ms = -math.inf
         self._mean = FIRST_MEAN
+        self._best = FIRST_MEAN
 
     @property
     def age_ms(self) -> float:
@@ -55,14 +63,19 @@
 
     @property
     def slow(self) -> bool:
-        """Whether work takes longer now than on the mean."""
-        return self.known and self.last > max(1.0, self._mean)
+        """Whether work takes much longer now than it did a moment ago at its best."""
+        return self.known and self.last > SLOW_RATIO * self._best
 
     def observe(self, value: float, age_ms: float = 0.0) -> None:
         """A report came in that is `age_ms` old; one that is older than the last is left out."""
         reported_ms = self._clock.now_ms() - age_ms
         if reported_ms < self._reported_ms:
             return
+        if self.known:
+            rise = 1 - math.exp(-(reported_ms - self._reported_ms) / BEST_MEMORY_MS)
+            self._best = min(value, self._best + rise * (value - self._best))
+        else:
+            self._best = value
         self.last = value
         self._reported_ms = reported_ms
         self._mean += MEAN_WEIGHT * (value - self._mean)
