--- a/foxtailproxy/logs.py
+++ b/foxtailproxy/logs.py
@@ -11,10 +11,13 @@
 import sys
 import time
 from collections import deque
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 BUFFER_LINES = 1000
 """Lines that wait for a stream that does not take them."""
 
@@ -69,15 +72,16 @@
 class EventSampler:
     """A processor that drops lines of an event that comes too often, and tells how many."""
 
-    def __init__(self, stream: LogStream) -> None:
+    def __init__(self, stream: LogStream, now_s: Callable[[], float] = time.monotonic) -> None:
         self._stream = stream
+        self._now_s = now_s
         self._second = 0
         self._count_by_event: dict[str, int] = {}
         self._dropped = 0
 
     def __call__(self, logger: Any, method: str, event_dict: Any) -> Any:
         """Pass a line on, or raise `DropEvent`."""
-        second = int(time.monotonic())
+        second = int(self._now_s())
         if second != self._second:
             self._second = second
             self._count_by_event.clear()
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -11,6 +11,7 @@
 import structlog
 from msgspec.structs import replace
 from twisted.internet.defer import DeferredList, ensureDeferred, maybeDeferred
+from twisted.internet.protocol import Factory
 
 from foxtailproxy.call import new_id
 from foxtailproxy.claims import Claims
@@ -76,6 +77,25 @@
 """Crash reports sent along with a comparison."""
 
 
+class AdminFactory(Factory):
+    """Loads the admin site with its first connection: its libraries take a third of a start."""
+
+    noisy = False
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._site: Any = None
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """A connection of an operator, or of an upstream that announces itself."""
+        if self._site is None:
+            from foxtailproxy.admin import AdminSite
+
+            self._site = AdminSite(self._node).site()
+            self._site.doStart()
+        return self._site.buildProtocol(addr)
+
+
 class Node:
     """The daemon beside one upstream."""
 
@@ -88,6 +108,7 @@
         self.quarantine = Quarantine(self.clock)
         self._reactor = reactor
         self._ports: list[Any] = []
+        self._platform_factories: list[ServerFactory] = []
         self._loops: list[LoopingCall] = []
         self._caller_port: Any = None
         self._stopped: list[Any] = []
@@ -185,13 +206,11 @@
 
     def start(self) -> None:
         """Open all sockets and join the other nodes. Raises `CannotListenError`."""
-        from foxtailproxy.admin import AdminSite
-
         node = self.settings.node
         listen = self._reactor.listenTCP
         self._ports = [
             listen(node.peer_port, self._peer_factory, interface=node.address),
-            listen(node.admin_port, AdminSite(self).site(), interface=node.address),
+            listen(node.admin_port, AdminFactory(self), interface=node.address),
             self._reactor.listenUDP(node.gossip_port, self.gossip.socket, interface=node.address),
         ]
         host, port = split_address(node.caller_address, node.address, node.caller_port)
@@ -210,16 +229,18 @@
         node = self.settings.node
         if not node.control_address and not node.ready_address:
             return
-        from foxtailproxy.platform.instances import ControlSite, ReadySite
+        from foxtailproxy.platform.instances import ControlHandler, ReadyHandler
 
-        sites = {
-            node.control_address: ControlSite(self).site(),
-            node.ready_address: ReadySite(self.ready).site(),
+        handlers = {
+            node.control_address: ControlHandler(self).handle,
+            node.ready_address: ReadyHandler(self.ready).handle,
         }
-        for address, site in sites.items():
+        for address, handle in handlers.items():
             if address:
                 host, port = split_address(address)
-                self._ports.append(self._reactor.listenTCP(port, site, interface=host))
+                factory = ServerFactory(handle, self._caller_limits(FleetRule()), self.clock)
+                self._platform_factories.append(factory)
+                self._ports.append(self._reactor.listenTCP(port, factory, interface=host))
 
     def ready(self) -> bool:
         """Whether requests are served: a configuration is in force and the node is not stopping."""
@@ -379,6 +400,9 @@
         self._peer_factory.close_idle()
         self._stopped += [maybeDeferred(port.stopListening) for port in self._ports]
         await DeferredList(self._stopped)
+        for factory in self._platform_factories:
+            factory.close_idle()
+            factory.close()
         self._caller_factory.close()
         self._peer_factory.close()
         self.peers.close()
--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -2,22 +2,28 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Protocol
+from urllib.parse import unquote
 
 import msgspec
 import structlog
-from klein import Klein
-from twisted.web.server import Site
 
+from foxtailproxy.http import messages
+from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.errors import HttpError
 from foxtailproxy.models.messages import Announcement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from foxtailproxy.http.exchange import ServerExchange
+
 log = structlog.get_logger()
 
 MAX_BEAT_BYTES = 65536
 
+INSTANCES_PATH = "/instances/"
+
 READY = "ready"
 DRAINING = "draining"
 STATES = frozenset((READY, DRAINING))
@@ -38,6 +44,13 @@
     """How much longer the target is slow after its start, not a moment."""
 
 
+class LeaveNotice(msgspec.Struct):
+    """What a target may say as it leaves."""
+
+    born: int = 0
+    """As in a heartbeat."""
+
+
 class BeatListener(Protocol):
     """Is told what the target says."""
 
@@ -75,66 +88,71 @@
         raise MalformedBeat(str(error)) from error
 
 
-class ControlSite:
-    """Takes the heartbeats of the target beside this node."""
-
-    app = Klein()
+class ControlHandler:
+    """Serves the heartbeats of the target beside this node."""
 
     def __init__(self, listener: BeatListener) -> None:
         self._listener = listener
 
-    def site(self) -> Site:
-        """A site to listen with."""
-        return _quiet_site(self.app)
-
-    @app.route("/instances/<process>", methods=["PUT"])
-    def beat(self, request: Any, process: str) -> bytes:
-        """A heartbeat."""
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Serve one call: `PUT` for a heartbeat, `DELETE` for a notice of leave."""
+        instance = _instance_of(exchange.head.target)
+        try:
+            whole = await exchange.body.buffer(MAX_BEAT_BYTES)
+        except HttpError as error:
+            log.warning("beat_cut", instance=instance, error=type(error).__name__)
+            return
+        body = exchange.body.held() if whole else b""
+        if not instance or exchange.head.method not in (b"PUT", b"DELETE"):
+            _respond(exchange, 404)
+        elif exchange.head.method == b"DELETE":
+            self._listener.left(instance, _read_born(body))
+            _respond(exchange, 200)
+        else:
+            self._beat(exchange, instance, body)
+
+    def _beat(self, exchange: ServerExchange, instance: str, body: bytes) -> None:
         try:
-            announcement = decode_beat(process, request.content.read(MAX_BEAT_BYTES))
+            announcement = decode_beat(instance, body)
         except MalformedBeat as error:
-            log.warning("beat_malformed", instance=process, reason=str(error))
-            return _json(request, 400, {"error": "malformed heartbeat"})
+            log.warning("beat_malformed", instance=instance, reason=str(error))
+            _respond(exchange, 400)
+            return
         self._listener.announced(announcement)
-        return _json(request, 200, {})
-
-    @app.route("/instances/<process>", methods=["DELETE"])
-    def leave(self, request: Any, process: str) -> bytes:
-        """The target takes no new work and ends soon."""
-        body = request.content.read(MAX_BEAT_BYTES)
-        try:
-            born_ms = msgspec.json.decode(body, type=dict[str, Any]).get("born", 0) if body else 0
-        except msgspec.MsgspecError:
-            born_ms = 0
-        self._listener.left(process, born_ms if isinstance(born_ms, int) else 0)
-        return _json(request, 200, {})
+        _respond(exchange, 200)
 
 
-class ReadySite:
+class ReadyHandler:
     """Tells the platform whether this node takes requests."""
 
-    app = Klein()
-
     def __init__(self, ready: Callable[[], bool]) -> None:
         self._ready = ready
 
-    def site(self) -> Site:
-        """A site to listen with."""
-        return _quiet_site(self.app)
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Serve one call: 200 where requests are served, else 503."""
+        _respond(exchange, 200 if self._ready() else 503)
+
 
-    @app.route("/ready", methods=["GET"])
-    def ready(self, request: Any) -> bytes:
-        """200 where requests are served, else 503."""
-        return _json(request, 200 if self._ready() else 503, {})
+def _instance_of(target: bytes) -> str:
+    """The process named in a path, or an empty string."""
+    path = target.partition(b"?")[0].decode("latin-1")
+    if not path.startswith(INSTANCES_PATH):
+        return ""
+    return unquote(path[len(INSTANCES_PATH) :])
 
 
-def _quiet_site(app: Klein) -> Site:
-    site = Site(app.resource())
-    site.noisy = False
-    return site
+def _read_born(body: bytes) -> int:
+    """The start in a notice of leave, which may have no body; 0 where it is not told."""
+    if not body:
+        return 0
+    try:
+        return msgspec.json.decode(body, type=LeaveNotice).born
+    except msgspec.MsgspecError as error:
+        log.warning("leave_malformed", reason=str(error))
+        return 0
 
 
-def _json(request: Any, status: int, value: dict[str, str]) -> bytes:
-    request.setResponseCode(status)
-    request.setHeader("content-type", "application/json")
-    return msgspec.json.encode(value)
+def _respond(exchange: ServerExchange, status: int) -> None:
+    headers = [(b"content-type", b"application/json")]
+    head = messages.ResponseHead(status, messages.reason_of(status), headers)
+    exchange.respond(head, BodyStream.of(b"{}"))
--- /dev/null
+++ b/foxtailproxy/tests/process.feature
@@ -0,0 +1,30 @@
+Feature: Settings that change, and logs that nobody reads
+
+  Scenario Outline: The settings file <change> while the node runs
+    Given a node's settings file that is watched
+    When the file <change> and <ms> ms pass
+    Then the node has taken over <count> new settings and silence_ms is <silence>
+
+    Examples:
+      | change            | ms   | count | silence |
+      | does not change   | 3000 | 0     | 500     |
+      | gets silence 700  | 1100 | 1     | 700     |
+      | becomes invalid   | 1100 | 0     | 500     |
+      | becomes unreadable | 1100 | 0    | 500     |
+      | goes and comes back with silence 900 | 3000 | 1 | 900 |
+
+  Scenario: A stream that nobody reads holds up nothing and loses only what is beyond the buffer
+    Given a log stream into a pipe that nobody reads
+    When 20000 lines are logged
+    Then it takes less than 2000 ms
+    And what was dropped is counted once the pipe is read again
+
+  Scenario Outline: An event that comes <count> times in a second
+    Given a log stream into a file
+    When <count> lines of one event are logged within a second, and one in the next
+    Then <least> to <most> lines are written, and the last tells of <dropped> left out
+
+    Examples:
+      | count | least | most | dropped |
+      | 300   | 301   | 301  | 0       |
+      | 2000  | 450   | 520  | 1520    |
--- /dev/null
+++ b/foxtailproxy/tests/steps/process.py
@@ -0,0 +1,127 @@
+"""Steps for the settings file and the log stream of a process."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import structlog
+from behave import given, then, when
+
+from foxtailproxy.config.settings import parse_settings
+from foxtailproxy.logs import EventSampler, LogStream
+from foxtailproxy.settings_watch import SettingsWatch
+from foxtailproxy.tests.fakes import advance, fake_clock
+
+DATA = Path(__file__).parents[1] / "data" / "node-valid.ini"
+PIPE_BYTES = 1 << 20
+
+
+@given("a node's settings file that is watched")
+def step_watched(context: Any) -> None:
+    context.clock = fake_clock()
+    context.path = Path(tempfile.mkdtemp()) / "node.ini"
+    context.settings_text = DATA.read_text(encoding="utf-8")
+    context.path.write_text(context.settings_text)
+    context.taken = []
+    context.watch = SettingsWatch(context.clock, str(context.path), context.taken.append)
+    context.watch.start()
+
+
+def _with_silence(context: Any, ms: str) -> str:
+    return context.settings_text.replace("silence_ms = 500", f"silence_ms = {ms}")
+
+
+@when("the file {change} and {ms:d} ms pass")
+def step_change_file(context: Any, change: str, ms: int) -> None:
+    words = change.split()
+    if change == "becomes invalid":
+        context.path.write_text(context.settings_text + "nonsense = 1\n")
+    elif change == "becomes unreadable":
+        context.path.write_bytes(b"\xff\xfe\x00")
+    elif words[0] == "gets":
+        context.path.write_text(_with_silence(context, words[-1]))
+    elif words[0] == "goes":
+        context.path.unlink()
+        advance(context.clock, ms / 2)
+        context.path.write_text(_with_silence(context, words[-1]))
+    advance(context.clock, ms)
+    context.watch.close()
+
+
+@then("the node has taken over {count:d} new settings and silence_ms is {silence:d}")
+def step_taken(context: Any, count: int, silence: int) -> None:
+    assert len(context.taken) == count, context.taken
+    newest = context.taken[-1] if context.taken else parse_settings(context.settings_text, "test")
+    assert newest.limits.silence_ms == silence
+
+
+@given("a log stream into a pipe that nobody reads")
+def step_pipe(context: Any) -> None:
+    context.read_end, write_end = os.pipe()
+    context.stream = LogStream(write_end)
+
+
+@when("{count:d} lines are logged")
+def step_log(context: Any, count: int) -> None:
+    begun_s = time.monotonic()
+    for _ in range(count):
+        context.stream.msg("event=call attempt=0123456789abcdef outcome=answered")
+    context.elapsed_ms = (time.monotonic() - begun_s) * 1000
+    context.count = count
+
+
+@then("it takes less than {ms:d} ms")
+def step_fast(context: Any, ms: int) -> None:
+    assert context.elapsed_ms < ms, context.elapsed_ms
+
+
+@then("what was dropped is counted once the pipe is read again")
+def step_counted(context: Any) -> None:
+    seen = b""
+    os.set_blocking(context.read_end, False)
+    while True:
+        try:
+            part = os.read(context.read_end, PIPE_BYTES)
+        except BlockingIOError:
+            break
+        seen += part
+        context.stream.flush()
+    assert context.stream.dropped > 0
+    assert seen.count(b"\n") + context.stream.dropped == context.count
+
+
+@given("a log stream into a file")
+def step_file(context: Any) -> None:
+    context.path = Path(tempfile.mkdtemp()) / "log"
+    stream = LogStream(os.open(context.path, os.O_CREAT | os.O_WRONLY))
+    context.second = 0
+    sampler = EventSampler(stream, lambda: context.second)
+
+    def log(event: str) -> None:
+        try:
+            fields = sampler(None, "info", {"event": event})
+        except structlog.DropEvent:
+            return
+        stream.msg(" ".join(f"{key}={value}" for key, value in fields.items()))
+
+    context.log = log
+
+
+@when("{count:d} lines of one event are logged within a second, and one in the next")
+def step_log_often(context: Any, count: int) -> None:
+    for _ in range(count):
+        context.log("call")
+    context.second += 1
+    context.log("call")
+
+
+@then("{least:d} to {most:d} lines are written, and the last tells of {dropped:d} left out")
+def step_lines(context: Any, least: int, most: int, dropped: int) -> None:
+    lines = context.path.read_text(encoding="utf-8").splitlines()
+    assert least <= len(lines) <= most, len(lines)
+    told = f"log_dropped={dropped}" if dropped else "event=call"
+    assert lines[-1].endswith(told), lines[-1]
