Free the slot of an overdue call as soon as its upstream has stopped

Log lines are rendered by structlog's key=value renderer: the logfmt one looks at each character and took a fifth of a call's processor time in a profile.

--- a/foxtailproxy/logs.py
+++ b/foxtailproxy/logs.py
@@ -120,7 +120,7 @@
             *first,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
         ],
         logger_factory=factory,
         cache_logger_on_first_use=True,
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -328,6 +328,17 @@
     """
     Idle time up to which an open connection is used for a call that may not run again, in milliseconds; 0 opens a new one for each. The upstream may close an idle connection as the call is sent, whose outcome is then unknown.
     """
+    overdue_ms: Annotated[
+        int,
+        Meta(
+            description="Time after its deadline for which a call that may not run again keeps its slot and connection, in milliseconds; little where the upstream stops work at the deadline that it is given.",
+            ge=0,
+            le=600000,
+        ),
+    ] = 30000
+    """
+    Time after its deadline for which a call that may not run again keeps its slot and connection, in milliseconds; little where the upstream stops work at the deadline that it is given.
+    """
 
 
 class BudgetsSection(Struct):
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -43,9 +43,6 @@
 SWEEP_MS = 20
 """Time between two looks at deadlines, in milliseconds."""
 
-OVERDUE_MS = 30_000
-"""Time after its deadline for which a call that may not run again keeps its slot and connection."""
-
 CRASH_CHECK_MS = 50
 """Time between the loss of a connection and the check whether the upstream died."""
 
@@ -113,6 +110,7 @@
         self._log_calls = log_calls
         self._slot_percent = settings.slot_percent
         self._reuse_idle_ms = settings.reuse_idle_ms
+        self._overdue_ms = settings.overdue_ms
         self.health_path = "/healthz"
         self.speed_checks = 0
         self._speed_answers: list[Deferred[None]] | None = None
@@ -355,10 +353,12 @@
             await waiting
             return
         self._speed_answers = []
-        await self._ask_speed()
-        answers, self._speed_answers = self._speed_answers, None
-        for answer in answers:
-            answer.callback(None)
+        try:
+            await self._ask_speed()
+        finally:
+            answers, self._speed_answers = self._speed_answers, None
+            for answer in answers:
+                answer.callback(None)
 
     async def _ask_speed(self) -> None:
         if self._pool is None:
@@ -552,7 +552,7 @@
         self.admission.sweep()
         now = self._clock.now_ms()
         for running in list(self._by_send.values()):
-            patience_ms = 0 if running.call.rule.idempotent else OVERDUE_MS
+            patience_ms = 0 if running.call.rule.idempotent else self._overdue_ms
             overdue = running.call.deadline_ms + patience_ms <= now
             if overdue and running.connection is not None:
                 running.connection.fail(DeadlinePassed())
--- a/foxtailproxy/tests/steps/target.py
+++ b/foxtailproxy/tests/steps/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from behave import given, then, when
@@ -12,6 +13,7 @@
 from foxtailproxy.clock import Clock
 from foxtailproxy.dialect import OwnDialect
 from foxtailproxy.models.messages import Announcement
+from foxtailproxy.models.settings import UpstreamSection
 from foxtailproxy.target import Target
 from foxtailproxy.tests.fakes import QuietListener, make_call
 from standins.fleet import free_ports
@@ -22,6 +24,9 @@
 )
 
 
+OVERDUE_MS = 100
+
+
 class FakeUpstream(Protocol):
     """Answers each request; by habit it cuts a connection that is used again."""
 
@@ -37,6 +42,8 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answer a request, which fits in one packet."""
         self.requests += 1
+        if "never answers" in self.factory.habit:
+            return
         if self.requests > 1 and "cuts" in self.factory.habit:
             self.transport.abortConnection()
         else:
@@ -57,7 +64,8 @@
         if habit != "does not listen":
             self.listening = loop.listenTCP(port, self.factory, interface="127.0.0.1")
         self.clock = Clock(loop)
-        self.target = Target(self.clock, loop, QuietListener(), OwnDialect())
+        settings = UpstreamSection(overdue_ms=OVERDUE_MS)
+        self.target = Target(self.clock, loop, QuietListener(), OwnDialect(), settings)
         self.target.announce(Announcement("kalender", "127.0.0.1", port, 2))
 
     def close(self) -> None:
@@ -95,3 +103,22 @@
 @then("the upstream opened {count:d} connections")
 def step_opened(context: Any, count: int) -> None:
     assert context.live.factory.connections == count, context.live.factory.connections
+
+
+@when("{count:d} calls that {may} run again have {ms:d} ms, and {after:d} ms pass")
+def step_short_calls(context: Any, count: int, may: str, ms: int, after: int) -> None:
+    one = context.live
+
+    def send() -> None:
+        for _ in range(count):
+            call = make_call(one.clock, ms, rule={"idempotent": may == "may"})
+            ensureDeferred(one.target.run(call))
+
+    threads.blockingCallFromThread(reactor, send)
+    time.sleep(after / 1000)
+
+
+@then("{count:d} slots are taken")
+def step_slots_taken(context: Any, count: int) -> None:
+    load = threads.blockingCallFromThread(reactor, context.live.target.load)
+    assert load.running == count, load
--- a/foxtailproxy/tests/target.feature
+++ b/foxtailproxy/tests/target.feature
@@ -14,3 +14,16 @@
       | cuts each connection that is reused   | may     | answered answered answered              | 5           |
       | refuses by outcome                    | may not | upstream-refused upstream-refused upstream-refused | 3 |
       | does not listen                       | may not | target-down target-down target-down     | 0           |
+
+  Scenario Outline: Calls that <may> run again keep their slots <until>
+    Given an upstream that never answers
+    When 2 calls that <may> run again have 100 ms, and <after> ms pass
+    Then <taken> slots are taken
+
+    # The calls may be overdue for 100 ms.
+    Examples:
+      | may     | until                        | after | taken |
+      | may     | until their deadline         | 60    | 2     |
+      | may     | not after it                 | 160   | 0     |
+      | may not | while they may be overdue    | 160   | 2     |
+      | may not | not after that               | 280   | 0     |
