Send a call that takes too long to a second target while the first still runs it

Cause: a call that may run again waited for one target until its deadline, also where its answer was lost or its instance turned slow in the middle. Change: with the budget for retries, the second target is asked at the last moment at which it would still be in time; the first answer wins and the other send is stopped. The sends moved from entry.py into dispatch.py.

--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -18,15 +18,12 @@
 from foxtailproxy.http.errors import HttpError
 from foxtailproxy.outcome import (
     Answer,
-    CallFailure,
     NotRun,
     NotRunReason,
     Outcome,
     Unknown,
     UnknownReason,
 )
-from foxtailproxy.retry_budget import RetryBudgets
-from foxtailproxy.routing import LOCAL_ID, Choice, LocalChoice, PeerChoice
 from foxtailproxy.wire import FIRST_SEND, KEY
 
 if TYPE_CHECKING:
@@ -34,13 +31,10 @@
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import Match
     from foxtailproxy.config_sync import ConfigSync
+    from foxtailproxy.dispatch import Dispatcher
     from foxtailproxy.http.exchange import ServerExchange
     from foxtailproxy.metrics import Metrics
     from foxtailproxy.models.settings import LimitsSection
-    from foxtailproxy.peer_client import PeerClient
-    from foxtailproxy.quarantine import Quarantine
-    from foxtailproxy.routing import Router
-    from foxtailproxy.target import Target
 
 log = structlog.get_logger()
 
@@ -49,38 +43,10 @@
 
 MAX_KEY_LENGTH = 255
 
-SERVER_ERROR = 500
-
-MOST_REFUSALS = 2
-"""Targets without room that are asked for one call; where two have none, the service has none."""
-
-MOST_SENDS = 8
-"""Nodes that one call is sent to at most, those that hand it back included."""
-
-FINAL_REASONS = frozenset(
-    (
-        NotRunReason.DEADLINE,
-        NotRunReason.CANCELLED,
-        NotRunReason.REQUEST_CUT,
-        NotRunReason.QUARANTINED,
-        NotRunReason.TOO_DEEP,
-    )
-)
-"""Refusals that another target would not change."""
 
 REQUEST_REASONS = frozenset((NotRunReason.TOO_DEEP, NotRunReason.BAD_REQUEST))
 """Refusals that the request itself causes, so that it cannot have run before either."""
 
-OVERLOAD_REASONS = frozenset(
-    (NotRunReason.OVERLOADED, NotRunReason.QUEUE_FULL, NotRunReason.HELD_TOO_LONG)
-)
-"""Refusals of a target's node that has no room."""
-
-FAULT_REASONS = frozenset(
-    (NotRunReason.TARGET_DOWN, NotRunReason.UNREACHABLE, NotRunReason.UPSTREAM_REFUSED)
-)
-"""Refusals that count against a target's health."""
-
 
 class PendingCall:
     """A call whose caller waits for the answer."""
@@ -124,30 +90,21 @@
         clock: Clock,
         limits: LimitsSection,
         config: ConfigSync,
-        target: Target,
-        router: Router,
-        peers: PeerClient,
+        dispatcher: Dispatcher,
         claims: Claims,
-        quarantine: Quarantine,
         metrics: Metrics,
         dialect: Dialect,
-        retries: RetryBudgets,
         log_calls: bool,
     ) -> None:
         self.clock = clock
         self.pending = 0
         self._limits = limits
         self._config = config
-        self._target = target
-        self._router = router
-        self._peers = peers
+        self._dispatcher = dispatcher
         self._claims = claims
-        self._quarantine = quarantine
         self._metrics = metrics
         self._log_calls = log_calls
         self._dialect = dialect
-        self._retries = retries
-        self._cancelled: set[str] = set()
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Serve one request of a caller."""
@@ -159,16 +116,12 @@
                 return
             pending = PendingCall(self, exchange, call)
             pending.finish(await self._decide(call))
-            self._cancelled.discard(call.attempt_id)
         finally:
             self.pending -= 1
 
     def cancel(self, call: Call) -> None:
         """The caller has gone or was told the outcome; stop what may run again."""
-        self._cancelled.add(call.attempt_id)
-        self._target.cancel(call.send_id)
-        if call.rule.idempotent:
-            self._peers.cancel(call.send_id)
+        self._dispatcher.cancel(call)
 
     def _refuse(self, exchange: ServerExchange, refusal: NotRun) -> None:
         """Answer a request that did not become a call."""
@@ -282,121 +235,11 @@
             await settled
         return shared[0]
 
-    def _blocked(self, call: Call) -> bool:
-        book = self._config.book
-        if book is None:
-            return False
-        fleet = book.fleet
-        return self._quarantine.blocked(call, fleet.crash_limit, fleet.quarantine_ms)
-
     async def _dispatch(self, call: Call) -> Outcome:
-        """Send a call to one target after another until one answers."""
-        if self._blocked(call):
-            return Error(NotRun(NotRunReason.QUARANTINED))
-        if call.remaining_ms(self.clock) <= 0:
-            return Error(NotRun(NotRunReason.DEADLINE))
         book = self._config.book
-        assert book is not None
-        self._retries.earn(call.service.name)
-        call.crashed_upstreams = self._quarantine.crashed_upstreams(call)
-        tried: set[str] = set()
-        declined: set[str] = set()
-        arrivals = 0
-        runs = 0
-        refusals = 0
-        uncertain: Unknown | None = None
-        failed_answer: Outcome | None = None
-        outcome: Outcome = Error(NotRun(NotRunReason.NO_TARGET))
-        for number in range(MOST_SENDS):
-            if runs >= call.rule.attempts or refusals >= MOST_REFUSALS:
-                break
-            if number and not self._may_retry(call, outcome, book.fleet.crash_limit, arrivals):
-                break
-            choice = self._choose(call, tried, frozenset(declined))
-            if choice is None:
-                break
-            if arrivals:
-                self._metrics.retries += 1
-            call.terms = choice.terms
-            call.send_number = number
-            outcome = await self._send(choice, call)
-            place = choice.view.member.node_id if isinstance(choice, PeerChoice) else LOCAL_ID
-            call.last_choice = choice
-            if outcome.is_error() and self._log_calls:
-                events.send_failed(call, choice, outcome, call.remaining_ms(self.clock))
-            if handed_back(outcome):
-                declined.add(place)
-                continue
-            tried.add(place)
-            arrivals += reached_target(outcome)
-            runs += may_have_run(outcome)
-            refusals += turned_away(outcome)
-            if outcome.is_error() and isinstance(outcome.error, Unknown):
-                uncertain = outcome.error
-                self._note_crash(call, choice, outcome.error)
-            elif outcome.is_ok():
-                failed_answer = outcome
-        if outcome.is_error() and failed_answer is not None:
-            # An error that an upstream answered with tells more than a later refusal.
-            return failed_answer
-        if uncertain is not None and outcome.is_error():
-            # One of the attempts may have run, whatever the last one says.
-            return Error(uncertain)
-        return outcome
-
-    def _choose(self, call: Call, tried: set[str], declined: frozenset[str]) -> Choice | None:
-        if call.crashed_upstreams:
-            return self._router.choose_for_suspect(call)
-        size = len(call.payload or b"") + len(call.head.target)
-        left_ms = call.objective_left_ms(self.clock)
-        return self._router.choose(call.match, tried, size, declined, left_ms)
-
-    def _may_retry(self, call: Call, outcome: Outcome, crash_limit: int, arrivals: int) -> bool:
-        if call.attempt_id in self._cancelled or call.remaining_ms(self.clock) <= 0:
-            return False
-        if not call.replayable or not retriable(call, outcome) or self._blocked(call):
-            return False
-        if len(call.crashed_upstreams) >= crash_limit:
-            return False
-        if call.crashed_upstreams and outcome.is_error() and isinstance(outcome.error, NotRun):
-            # Another such request may have crashed the target; the caller may ask again later.
-            return False
-        # A call that has not reached a target yet is not repeated by being sent to one.
-        return not arrivals or self._retries.spend(call.service.name)
-
-    async def _send(self, choice: Choice, call: Call) -> Outcome:
-        health = self._router.health_of(choice)
-        if isinstance(choice, LocalChoice):
-            outcome = await self._run_here(call)
-        else:
-            choice.view.sent()
-            outcome = await self._peers.run(call, choice.view.member)
-            choice.view.ended()
-        if is_fault(outcome):
-            self._router.failed(call.service.name, health)
-        elif outcome.is_ok():
-            health.success()
-            self._router.answered(call.class_key, outcome.ok.body.size)
-            self._quarantine.completed(call)
-        return outcome
-
-    async def _run_here(self, call: Call) -> Outcome:
-        outcome = await self._target.run(call)
-        if outcome.is_error():
-            return outcome
-        try:
-            await outcome.ok.body.buffer(self._limits.replay_bytes)
-        except HttpError:
-            return Error(Unknown(UnknownReason.ANSWER_CUT))
-        return outcome
-
-    def _note_crash(self, call: Call, choice: Choice, failure: Unknown) -> None:
-        if not failure.crashed:
-            return
-        name = (
-            choice.view.member.node_id if isinstance(choice, PeerChoice) else self._router.node_id
-        )
-        call.crashed_upstreams = [*call.crashed_upstreams, name]
+        if book is None:
+            return Error(NotRun(NotRunReason.NO_CONFIGURATION))
+        return await self._dispatcher.run(call, book)
 
 
 def refusal_of(headers: messages.HeaderList, refusal: NotRun) -> NotRun | Unknown:
@@ -405,44 +248,3 @@
     if not keyed or refusal.reason in REQUEST_REASONS:
         return refusal
     return unchecked(messages.get_header(headers, FIRST_SEND) is not None, refusal)
-
-
-def retriable(call: Call, outcome: Outcome) -> bool:
-    """Whether a call that ended so may be sent to another target."""
-    if outcome.is_ok():
-        answer: Answer = outcome.ok
-        return call.rule.idempotent and answer.head.status >= SERVER_ERROR and answer.body.ended
-    failure: CallFailure = outcome.error
-    if isinstance(failure, NotRun):
-        return failure.reason not in FINAL_REASONS
-    return call.rule.idempotent and failure.reason is not UnknownReason.DEADLINE
-
-
-def handed_back(outcome: Outcome) -> bool:
-    """Whether a target gave the call back since another one is faster now."""
-    return outcome.is_error() and outcome.error.reason is NotRunReason.FASTER_ELSEWHERE
-
-
-def may_have_run(outcome: Outcome) -> bool:
-    """Whether an upstream may have run the call, which then counts as an attempt."""
-    return outcome.is_ok() or isinstance(outcome.error, Unknown)
-
-
-def turned_away(outcome: Outcome) -> bool:
-    """Whether the target's node had no room for the call."""
-    return outcome.is_error() and outcome.error.reason in OVERLOAD_REASONS
-
-
-def reached_target(outcome: Outcome) -> bool:
-    """Whether the call may have reached an upstream; each further one is a retry."""
-    return may_have_run(outcome) or outcome.error.reason is NotRunReason.UPSTREAM_REFUSED
-
-
-def is_fault(outcome: Outcome) -> bool:
-    """Whether a call ended so through a fault of the target."""
-    if outcome.is_ok():
-        return outcome.ok.head.status >= SERVER_ERROR
-    failure: CallFailure = outcome.error
-    if isinstance(failure, NotRun):
-        return failure.reason in FAULT_REASONS
-    return failure.reason is not UnknownReason.CANCELLED
--- a/foxtailproxy/events.py
+++ b/foxtailproxy/events.py
@@ -76,6 +76,11 @@
     )
 
 
+def call_hedged(call: Call, choice: Choice, left_ms: float) -> None:
+    """A call takes too long at one target and is sent to a second one as well."""
+    log.info("call_hedged", attempt=call.attempt_id, left_ms=round(left_ms), **_basis(choice))
+
+
 def run_ended(
     call: Call, outcome: Outcome, waited_ms: float, ran_ms: float, slowness: float
 ) -> None:
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -19,6 +19,7 @@
 from foxtailproxy.config.settings import split_address
 from foxtailproxy.config_sync import ConfigSync, OwnConfigSource
 from foxtailproxy.dialect import OwnDialect
+from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.entry import Entry
 from foxtailproxy.gossip import Gossip
 from foxtailproxy.http.server import ServerFactory, ServerLimits
@@ -163,18 +164,25 @@
             TokenBucket(clock, fleet.paid_measure_bytes_per_s),
         )
         self.claims = Claims(clock, limits, self.store, self.peers, self.table.me)
-        self.entry = Entry(
+        dispatcher = Dispatcher(
             clock,
             limits,
-            self.config,
             self.target,
             self.router,
             self.peers,
-            self.claims,
             self.quarantine,
+            self.retries,
+            self.metrics,
+            self.settings.node.log_calls,
+        )
+        self.entry = Entry(
+            clock,
+            limits,
+            self.config,
+            dispatcher,
+            self.claims,
             self.metrics,
             dialect,
-            self.retries,
             self.settings.node.log_calls,
         )
         self.peer_server = PeerServer(
--- a/foxtailproxy/retry_budget.py
+++ b/foxtailproxy/retry_budget.py
@@ -16,7 +16,7 @@
 FLOOR_PER_SECOND = 1.0
 """Retries a second that are allowed however few calls there are, where the nodes share no slack."""
 
-RATIO_SHARE = 0.75
+RATIO_SHARE = 0.4
 """Part of the allowed ratio that nodes spend; calls that retried calls make count as well."""
 
 SLACK_SHARE = 0.4
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -128,10 +128,12 @@
     """What a choice was made from: the expected time, and the age of the report on the speed.
 
     `target` is the node beside the target, empty for the own one; the age is -1 without a report.
+    `usual_ms` is the run time of the class at the usual speed, 0 where it is not known.
     """
 
     target: str = ""
     expected_ms: float = 0.0
+    usual_ms: float = 0.0
     report_age_ms: float = -1.0
 
 
@@ -262,10 +264,12 @@
         if best is None:
             load = self._target.load()
             age_ms = load.slowness_age_ms if load.slowness else -1.0
-            return LocalChoice(terms, Basis("", self._local_ms(match), age_ms))
+            usual_ms = self._usual_local_ms(match)
+            return LocalChoice(terms, Basis("", self._local_ms(match), usual_ms, age_ms))
         age_ms = best.slowness.age_ms if best.slowness.known else -1.0
         expected_ms = best.time_ms(match.rule.name)
-        return PeerChoice(best, terms, Basis(best.member.node_id, expected_ms, age_ms))
+        usual_ms = best.usual_ms(match.rule.name)
+        return PeerChoice(best, terms, Basis(best.member.node_id, expected_ms, usual_ms, age_ms))
 
     def _terms(
         self,
--- /dev/null
+++ b/foxtailproxy/tests/dispatch.feature
@@ -0,0 +1,38 @@
+Feature: A call is sent until a target answers it
+
+  # A target is PLACE:MS, which answers after so many ms, PLACE:never, PLACE:500 for an error after 50 ms, or
+  # PLACE:REASON for a refusal. The usual run time is 100 ms, the objective 400 ms, the deadline 1000 ms.
+  Scenario Outline: <case>
+    Given targets <targets>
+    When a call that <may> run again is dispatched with <attempts> attempts
+    Then it ends as <outcome> after <ms> ms
+    And it was sent to <sent> and stopped at <stopped>
+
+    Examples:
+      | case                                          | targets                              | may     | attempts | outcome               | ms   | sent  | stopped |
+      | the first answers                             | a:100ms b:100ms                      | may     | 2        | answered              | 100  | a     | -       |
+      | the first is slow, the second wins            | a:900ms b:100ms                      | may     | 2        | answered              | 360  | a b   | a       |
+      | the first is slow and wins all the same       | a:300ms b:100ms                      | may     | 2        | answered              | 300  | a b   | b       |
+      | the first never answers                       | a:never b:100ms                      | may     | 2        | answered              | 360  | a b   | a       |
+      | the first fails while the second runs         | a:270ms500 b:200ms                   | may     | 2        | answered              | 460  | a b   | -       |
+      | a call that may not run again is sent once    | a:900ms b:100ms                      | may not | 2        | answered              | 900  | a     | -       |
+      | one attempt is one target                     | a:900ms b:100ms                      | may     | 1        | answered              | 900  | a     | -       |
+      | handed back, then answered elsewhere          | a:faster-elsewhere b:100ms           | may not | 1        | answered              | 100  | a b   | -       |
+      | refused by the upstream, then answered        | a:upstream-refused b:100ms           | may not | 1        | answered              | 100  | a b   | -       |
+      | two targets without room are enough           | a:overloaded b:overloaded c:100ms    | may     | 2        | not-run overloaded    | 0    | a b   | -       |
+      | an error is repeated elsewhere                | a:50ms500 b:100ms                    | may     | 2        | answered              | 150  | a b   | -       |
+      | an error of a call that may not run again     | a:50ms500 b:100ms                    | may not | 2        | answered 500          | 50   | a     | -       |
+      | a lost answer of one that may not run again   | a:upstream-lost b:100ms              | may not | 2        | unknown upstream-lost | 0    | a     | -       |
+      | nobody is there                               | -                                    | may     | 2        | not-run no-target     | 0    | -     | -       |
+
+  Scenario: A caller that leaves stops both sends
+    Given targets a:never b:never
+    When a call that may run again is dispatched with 2 attempts
+    And the caller leaves after 500 ms
+    Then it was sent to a b and stopped at a b
+
+  Scenario: Without a budget no second target is asked
+    Given targets a:900ms b:100ms
+    And no budget for retries
+    When a call that may run again is dispatched with 2 attempts
+    Then it ends as answered after 900 ms
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from foxtailproxy.clock import Clock
-from foxtailproxy.entry import retriable
+from foxtailproxy.dispatch import retriable
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -18,12 +18,20 @@
     "PlatformSection": "platform",
     "PeersSection": "peers",
     "LimitsSection": "limits",
+    "UpstreamSection": "upstream",
+    "BudgetsSection": "budgets",
+    "LinksSection": "links",
     "FleetRule": "fleet",
     "ServiceRule": "service NAME",
     "ClassRule": "class SERVICE/NAME",
+    "RouteRule": "route NAME",
 }
 
-IN_SECTION_NAME = {"ServiceRule": {"name"}, "ClassRule": {"service", "name"}}
+IN_SECTION_NAME = {
+    "ServiceRule": {"name"},
+    "ClassRule": {"service", "name"},
+    "RouteRule": {"name"},
+}
 
 
 def format_section(model: str, schema: dict[str, Any]) -> str:
