--- a/foxtailproxy/tests/peer_recovery.feature
+++ b/foxtailproxy/tests/peer_recovery.feature
@@ -46,3 +46,14 @@
     Given two nodes with a relay between them
     When 3 calls are sent one after another
     Then the relay saw 1 connections
+
+  Scenario Outline: A caller leaves while its call <may> run again
+    Given two nodes with a relay between them
+    When a call that <may> run again is left by its caller after 100 ms
+    Then its target is told <when_told>
+
+    # One that may not run again goes on: its sender may ask about it for 1,500 ms.
+    Examples:
+      | may     | when_told     |
+      | may     | within 500 ms |
+      | may not | nothing       |
--- a/foxtailproxy/tests/steps/peer_recovery.py
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -40,6 +40,8 @@
         self.clock = clock
         self.runs: list[str] = []
         self.run_ms = 50.0
+        self.repeatable = False
+        self.cancelled_s = 0.0
         self.stalling: BodyStream | None = None
 
     async def run(self, call: Call) -> Outcome:
@@ -55,11 +57,12 @@
         return Load(len(self.runs), 0, 2, 1.0)
 
     def cancel(self, send_id: str) -> None:
-        """Nothing to stop."""
+        """A call is to be stopped."""
+        self.cancelled_s = self.cancelled_s or time.monotonic()
 
     def may_repeat(self, send_id: str) -> bool:
-        """These calls run at most once."""
-        return False
+        """Whether the calls may run again."""
+        return self.repeatable
 
 
 class FixedConfig:
@@ -239,3 +242,30 @@
 @then("the relay saw {count:d} connections")
 def step_connections(context: Any, count: int) -> None:
     assert context.live.relay.connections == count
+
+
+@when("a call that {may} run again is left by its caller after {ms:d} ms")
+def step_left(context: Any, may: str, ms: int) -> None:
+    nodes = context.live
+    nodes.target.run_ms = 3000.0
+    nodes.target.repeatable = may == "may"
+    rule = {"name": "booking", "idempotent": may == "may"}
+    call = make_call(nodes.clock, rule=rule, path="/bookings")
+
+    def send() -> None:
+        ensureDeferred(nodes.client.run(call, nodes.member))
+        nodes.clock.call_later(ms, nodes.client.cancel, call.send_id)
+
+    threads.blockingCallFromThread(reactor, send)
+    context.left_s = time.monotonic() + ms / 1000
+    time.sleep(ms / 1000 + 0.6)
+
+
+@then("its target is told {when_told}")
+def step_target_told(context: Any, when_told: str) -> None:
+    cancelled_s = context.live.target.cancelled_s
+    if when_told == "nothing":
+        assert not cancelled_s
+        return
+    within_s = int(when_told.split()[1]) / 1000
+    assert 0 < cancelled_s <= context.left_s + within_s, cancelled_s - context.left_s
