--- a/foxtailproxy/events.py
+++ b/foxtailproxy/events.py
@@ -56,7 +56,7 @@
     log.info(
         "call_refused",
         attempt=attempt_id,
-        reason=reason,
+        reason=str(reason),
         host=host,
         path=path[:100],
         config=generation,
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -496,7 +496,7 @@
         log.info(
             "member_changed",
             member=record.node_id,
-            state=record.state,
+            state=record.state.value,
             incarnation=record.incarnation,
             service=record.service,
             instance=record.instance,
