--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -27,6 +27,7 @@
     UnknownReason,
 )
 from foxtailproxy.routing import LOCAL_ID, Choice, LocalChoice, PeerChoice
+from foxtailproxy.terms import NO_TERMS
 
 if TYPE_CHECKING:
     from typing import Any
@@ -49,7 +50,7 @@
 MOST_REFUSALS = 2
 """Targets without room that are asked for one call; where two have none, the service has none."""
 
-MOST_SENDS = 8
+MOST_SENDS = 10
 """Nodes that one call is sent to at most, those that hand it back included."""
 
 HEDGE_FACTOR = 1.5
@@ -296,7 +297,9 @@
 
     def _begin(self, call: Call, choice: Choice, progress: Progress) -> Deferred[Outcome]:
         place = place_of(choice)
-        send = replace(call, send_number=progress.sends, terms=choice.terms)
+        last = progress.sends == MOST_SENDS - 1
+        terms = NO_TERMS if last else choice.terms
+        send = replace(call, send_number=progress.sends, terms=terms)
         progress.sends += 1
         progress.open_by_place[place] = send
         call.last_choice = choice
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -51,6 +51,13 @@
 SLOW_FACTOR = 1.5
 """A target that takes so many times longer than usual may be faster in a moment."""
 
+HOLD_TURN_MS = 60.0
+"""Time for which one of several slow targets holds a call before another one has its turn, in
+milliseconds; a few reports of its speed come in that time."""
+
+HOLD_TURN_SHARE = 0.25
+"""The same as a share of the time that is left for holding, so that a call has a few turns."""
+
 HOLD_RESERVE = 1.5
 """Part of the objective, in usual run times, that is left for the run when a call is held."""
 
@@ -297,7 +304,12 @@
         if times and chosen_id not in declined:
             overhead_ms = 0.0 if best is None else self._distance_ms(best)
             return Terms(limit_ms=max(usual_ms, min(times) - overhead_ms))
-        return Terms(hold_ms=max(0.0, left_ms - HOLD_RESERVE * usual_ms))
+        spare_ms = max(0.0, left_ms - HOLD_RESERVE * usual_ms)
+        if times and spare_ms > HOLD_TURN_MS:
+            # Of several slow targets one recovers sooner than this one alone.
+            turn_ms = max(HOLD_TURN_MS, spare_ms * HOLD_TURN_SHARE)
+            return Terms(limit_ms=HOLD_RESERVE * usual_ms, hold_ms=turn_ms)
+        return Terms(hold_ms=spare_ms)
 
     def answered(self, class_key: str, size: int) -> None:
         """A call of a class got an answer of `size` bytes."""
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -323,14 +323,16 @@
         if call.terms == NO_TERMS:
             return None
         await self._refresh_speed()
-        if self.admission.expected_ms(call) > call.terms.limit_ms:
+        if not call.terms.hold_ms and self.admission.expected_ms(call) > call.terms.limit_ms:
             return NotRun(NotRunReason.FASTER_ELSEWHERE)
         until_ms = self._clock.now_ms() + call.terms.hold_ms
         while self._better_later(call) and self._clock.now_ms() < until_ms:
             await self._clock.sleep(HOLD_CHECK_MS)
             if running.cancelled:
                 return NotRun(NotRunReason.CANCELLED)
-            await self._refresh_speed()
+            await self._refresh_speed(HOLD_CHECK_MS / 2)
+        if call.terms.hands_back and self._better_later(call):
+            return NotRun(NotRunReason.FASTER_ELSEWHERE)
         return self._refusal(call)
 
     def _better_later(self, call: Call) -> bool:
@@ -342,10 +344,10 @@
         """How many times longer than usual work takes at the upstream now."""
         return self.admission.slowness.expected()
 
-    async def _refresh_speed(self) -> None:
+    async def _refresh_speed(self, fresh_ms: float = FRESH_SPEED_MS) -> None:
         """Ask the upstream for its speed where the last report is old; one question at a time."""
         speed = self.admission.slowness
-        if not speed.known or speed.age_ms < FRESH_SPEED_MS or self.announcement is None:
+        if not speed.known or speed.age_ms < fresh_ms or self.announcement is None:
             return
         if self._speed_answers is not None:
             waiting: Deferred[None] = Deferred()
