Count the share of failed calls in the choice of a target

Cause: a target that fails or never answers part of its calls was ejected only after five failures in a row, which hardly come where half of the calls succeed. Change: its node counts the share that fails and reports it with the load; it weighs like the time that a failed call costs.

--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from foxtailproxy.ejection import FailureShare
 from foxtailproxy.load import Load
 from foxtailproxy.outcome import NotRun, NotRunReason
 from foxtailproxy.speed import RunTimes, Slowness
@@ -110,6 +111,7 @@
         self.bound_long = True
         self.slowness = Slowness(clock)
         self.run_times = RunTimes(clock)
+        self.failures = FailureShare(clock)
         self._clock = clock
         self._by_class: dict[str, ClassQueue] = {}
         self._running: set[Ticket] = set()
@@ -137,6 +139,7 @@
             self.slowness.last if self.slowness.known else 0.0,
             self.slowness.age_ms if self.slowness.known else 0.0,
             self.run_times.drag() if self.slowness.known else 1.0,
+            self.failures.value(),
         )
 
     def expected_ms(self, call: Call) -> float:
--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -18,6 +18,7 @@
 from foxtailproxy.http.body import DiscardSink
 from foxtailproxy.http.errors import HttpError
 from foxtailproxy.outcome import (
+    SERVER_ERROR,
     Answer,
     CallFailure,
     NotRun,
@@ -25,6 +26,9 @@
     Outcome,
     Unknown,
     UnknownReason,
+    is_fault,
+    may_have_run,
+    reached_target,
 )
 from foxtailproxy.routing import LOCAL_ID, Choice, LocalChoice, PeerChoice
 from foxtailproxy.terms import NO_TERMS
@@ -45,8 +49,6 @@
 
 log = structlog.get_logger()
 
-SERVER_ERROR = 500
-
 MOST_REFUSALS = 2
 """Targets without room that are asked for one call; where two have none, the service has none."""
 
@@ -75,11 +77,6 @@
 )
 """Refusals of a target's node that has no room."""
 
-FAULT_REASONS = frozenset(
-    (NotRunReason.TARGET_DOWN, NotRunReason.UNREACHABLE, NotRunReason.UPSTREAM_REFUSED)
-)
-"""Refusals that count against a target's health."""
-
 
 @dataclass(slots=True)
 class Progress:
@@ -364,26 +361,6 @@
     return outcome.is_error() and outcome.error.reason is NotRunReason.FASTER_ELSEWHERE
 
 
-def may_have_run(outcome: Outcome) -> bool:
-    """Whether an upstream may have run the call, which then counts as an attempt."""
-    return outcome.is_ok() or isinstance(outcome.error, Unknown)
-
-
 def turned_away(outcome: Outcome) -> bool:
     """Whether the target's node had no room for the call."""
     return outcome.is_error() and outcome.error.reason in OVERLOAD_REASONS
-
-
-def reached_target(outcome: Outcome) -> bool:
-    """Whether the call may have reached an upstream; each further one is a retry."""
-    return may_have_run(outcome) or outcome.error.reason is NotRunReason.UPSTREAM_REFUSED
-
-
-def is_fault(outcome: Outcome) -> bool:
-    """Whether a call ended so through a fault of the target."""
-    if outcome.is_ok():
-        return outcome.ok.head.status >= SERVER_ERROR
-    failure: CallFailure = outcome.error
-    if isinstance(failure, NotRun):
-        return failure.reason in FAULT_REASONS
-    return failure.reason is not UnknownReason.CANCELLED
--- a/foxtailproxy/ejection.py
+++ b/foxtailproxy/ejection.py
@@ -20,6 +20,34 @@
 """Share of a service's targets that may be ejected at the same time."""
 
 
+FAILURE_WEIGHT = 0.08
+"""Weight of the newest call in the share that fails."""
+
+FAILURE_HALF_LIFE_MS = 3000.0
+"""Time in which the share that fails loses half of its value where no call tells more, so that a
+target that has recovered is tried again."""
+
+
+class FailureShare:
+    """The share of a target's calls that fail lately, from 0 to 1."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._value = 0.0
+        self._noted_ms = clock.now_ms()
+
+    def note(self, failed: bool) -> None:
+        """A call has ended."""
+        value = self.value()
+        self._value = value + FAILURE_WEIGHT * (failed - value)
+        self._noted_ms = self._clock.now_ms()
+
+    def value(self) -> float:
+        """The share now."""
+        age_ms = self._clock.now_ms() - self._noted_ms
+        return self._value * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+
+
 @dataclass(slots=True)
 class HealthCore:
     """What is known of one target's answers."""
--- a/foxtailproxy/load.py
+++ b/foxtailproxy/load.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-FIELD_COUNT = 9
+FIELD_COUNT = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,7 +15,8 @@
     `wait_by_class` holds the expected wait in ms of the classes that have calls waiting,
     `run_by_class` the usual run time in ms of each class at the usual speed. `slowness` tells how
     many times longer work takes now, by a report of the upstream that is `slowness_age_ms` old; 0
-    where it does not report it. `drag` is what the latest calls took beyond that.
+    where it does not report it. `drag` is what the latest calls took beyond that, `failing` the
+    share of the calls that fail.
     """
 
     running: int
@@ -28,6 +29,7 @@
     slowness: float = 0.0
     slowness_age_ms: float = 0.0
     drag: float = 1.0
+    failing: float = 0.0
 
     def wait_ms(self, class_name: str, extra: float = 0.0) -> float:
         """Expected wait for a slot, in ms, with `extra` calls ahead that the report lacks."""
@@ -41,7 +43,7 @@
 
     def to_header(self) -> bytes:
         """The form sent with an answer: numbers, then times by class, between semicolons."""
-        return b"%d;%d;%d;%.1f;%.1f;%s;%s;%.2f,%.0f;%.2f" % (
+        return b"%d;%d;%d;%.1f;%.1f;%s;%s;%.2f,%.0f;%.2f;%.2f" % (
             self.running,
             self.queued,
             self.slots,
@@ -52,6 +54,7 @@
             self.slowness,
             self.slowness_age_ms,
             self.drag,
+            self.failing,
         )
 
 
@@ -88,6 +91,7 @@
             float(slowness),
             float(age_ms),
             float(fields[8]),
+            float(fields[9]),
         )
     except ValueError:
         return None
--- a/foxtailproxy/outcome.py
+++ b/foxtailproxy/outcome.py
@@ -13,6 +13,10 @@
     from foxtailproxy.http.messages import ResponseHead
 
 
+SERVER_ERROR = 500
+"""First status that tells of an error of the upstream."""
+
+
 class NotRunReason(StrEnum):
     """Why a request was not run."""
 
@@ -82,3 +86,28 @@
 
 CallFailure = NotRun | Unknown
 Outcome = Result[Answer, CallFailure]
+
+FAULT_REASONS = frozenset(
+    (NotRunReason.TARGET_DOWN, NotRunReason.UNREACHABLE, NotRunReason.UPSTREAM_REFUSED)
+)
+"""Refusals that count against a target's health."""
+
+
+def may_have_run(outcome: Outcome) -> bool:
+    """Whether an upstream may have run the call, which then counts as an attempt."""
+    return outcome.is_ok() or isinstance(outcome.error, Unknown)
+
+
+def reached_target(outcome: Outcome) -> bool:
+    """Whether the call may have reached an upstream; each further one is a retry."""
+    return may_have_run(outcome) or outcome.error.reason is NotRunReason.UPSTREAM_REFUSED
+
+
+def is_fault(outcome: Outcome) -> bool:
+    """Whether a call ended so through a fault of the target."""
+    if outcome.is_ok():
+        return outcome.ok.head.status >= SERVER_ERROR
+    failure: CallFailure = outcome.error
+    if isinstance(failure, NotRun):
+        return failure.reason in FAULT_REASONS
+    return failure.reason is not UnknownReason.CANCELLED
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from foxtailproxy.admission import TYPICAL_HALF_LIFE_MS, USUAL_SHARE
-from foxtailproxy.ejection import MAX_EJECTED_SHARE, TargetHealth
+from foxtailproxy.ejection import FAILURE_HALF_LIFE_MS, MAX_EJECTED_SHARE, TargetHealth
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import MemberState
 from foxtailproxy.models.settings import LinksSection
@@ -112,6 +112,12 @@
         drag = 1 + (load.drag - 1) * self._faded(DRAG_HALF_LIFE_MS)
         return usual_ms * drag * self.slowness.expected()
 
+    def failing(self) -> float:
+        """Share of the target's calls that fail, from 0 to 1."""
+        if self._load is None:
+            return 0.0
+        return self._load.failing * self._faded(FAILURE_HALF_LIFE_MS)
+
     def usual_ms(self, class_name: str) -> float:
         """Usual run time of a class in ms, at the usual speed; 0 where it is not known."""
         return 0.0 if self._load is None else self._load.run_by_class.get(class_name, 0.0)
@@ -175,6 +181,11 @@
     return hashlib.blake2b(f"{key} {node_id}".encode(), digest_size=8).digest()
 
 
+def load_risk_ms(load: Load, match: Match) -> float:
+    """What it costs that a target fails some of its calls, as a time in ms."""
+    return load.failing * match.rule.objective_ms
+
+
 class Router:
     """Chooses among the targets of a service.
 
@@ -300,7 +311,7 @@
             if view.usual_ms(name)
         ]
         if local:
-            times.append(self._local_ms(match))
+            times.append(self._local_ms(match) + load_risk_ms(self._target.load(), match))
         if times and chosen_id not in declined:
             overhead_ms = 0.0 if best is None else self._distance_ms(best)
             return Terms(limit_ms=max(usual_ms, min(times) - overhead_ms))
@@ -317,14 +328,15 @@
         self._answer_bytes[class_key] = known + ANSWER_WEIGHT * (size - known)
 
     def _cost_ms(self, view: TargetView, match: Match, size: int) -> float:
-        """What the bytes of a call cost, as the time by which another target may take longer."""
+        """What a call's bytes and risk cost, as the time that another target may take more."""
+        risk_ms = view.failing() * match.rule.objective_ms
         if view.member.data_center == self._data_center:
-            return 0.0
+            return risk_ms
         far = view.member.region != self._region
         per_mb = self.links.region_cost_per_mb if far else self.links.data_center_cost_per_mb
         answer_bytes = self._answer_bytes.get(f"{match.service.name}/{match.rule.name}", 0.0)
         cost = per_mb * (size + answer_bytes + CALL_HEAD_BYTES) / BYTES_PER_MB
-        return cost * match.rule.objective_ms
+        return risk_ms + cost * match.rule.objective_ms
 
     def _distance_ms(self, view: TargetView) -> float:
         if view.member.region != self._region:
@@ -400,6 +412,7 @@
         ):
             return best.health.ejected
         distance_ms = self._distance_ms(best) + self._cost_ms(best, match, size)
+        distance_ms -= load_risk_ms(self._target.load(), match)
         return best.time_ms(match.rule.name) + distance_ms + self._local_lead_ms(match) >= 0
 
     def _local_lead_ms(self, match: Match) -> float:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -25,7 +25,17 @@
 from foxtailproxy.http.pool import ConnectionPool
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.models.settings import UpstreamSection
-from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from foxtailproxy.outcome import (
+    SERVER_ERROR,
+    Answer,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+    is_fault,
+    reached_target,
+)
 from foxtailproxy.terms import NO_TERMS
 from foxtailproxy.wire import without_own
 
@@ -37,9 +47,6 @@
 
 log = structlog.get_logger()
 
-SERVER_ERROR = 500
-"""First status that tells of an error of the upstream."""
-
 SWEEP_MS = 20
 """Time between two looks at deadlines, in milliseconds."""
 
@@ -287,6 +294,8 @@
         entered_ms = self._clock.now_ms()
         running: list[RunningCall] = []
         outcome = await self._run(call, running)
+        if reached_target(outcome):
+            self.admission.failures.note(is_fault(outcome))
         if self._log_calls:
             ended_ms = self._clock.now_ms()
             started_ms = running[0].ticket.started_ms if running else -1.0
--- a/foxtailproxy/tests/routing.feature
+++ b/foxtailproxy/tests/routing.feature
@@ -81,6 +81,31 @@
       | all slow, and no time left         | 4  | 4  | 4   | 0    | 100  | all      | near   | a hold of 0 ms             |
       | an old report is worth little      | 4  | 1  | 4   | 5000 | 400  | nobody   | any    | a limit above 100          |
 
+  Scenario Outline: Targets that fail some of their calls: <case>
+    Given a node whose own target serves another service
+    And near peers that fail <f1> and <f2> percent of their calls
+    When a call with 400 ms left is placed <age> ms later, and nobody handed it back
+    Then it goes to <target> with a limit above 100
+
+    Examples:
+      | case                       | f1 | f2 | age   | target |
+      | the sound one              | 40 | 0  | 0     | n2     |
+      | the other sound one        | 0  | 40 | 0     | n1     |
+      | all fail alike             | 40 | 40 | 0     | near   |
+      | what is old counts little  | 40 | 40 | 20000 | near   |
+
+  Scenario Outline: The share of calls that fail after <calls>
+    When calls end as <calls>, and <ms> ms pass
+    Then the share that fails is between <least> and <most> percent
+
+    Examples:
+      | calls           | ms    | least | most |
+      | 20 ok           | 0     | 0     | 0    |
+      | 30 failed       | 0     | 85    | 100  |
+      | 30 failed       | 3000  | 40    | 50   |
+      | 30 failed       | 30000 | 0     | 1    |
+      | 30 failed 30 ok | 0     | 0     | 10   |
+
   Scenario Outline: A target with slowness <slowness> now gets a call <terms>
     Given a target whose upstream reports slowness <slowness> now and <later> from its second report
     When a call comes <terms>
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -15,6 +15,7 @@
 
 from foxtailproxy.clock import Clock
 from foxtailproxy.dispatch import retriable
+from foxtailproxy.ejection import FailureShare
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
@@ -183,6 +184,31 @@
         )
 
 
+@given("near peers that fail {first:d} and {second:d} percent of their calls")
+def step_failing(context: Any, first: int, second: int) -> None:
+    for name, percent in zip(PEERS, (first, second), strict=False):
+        context.router.member_changed(make_member(name, slots=SLOTS))
+        runs = {"lookup": USUAL_MS}
+        load = Load(0, 0, SLOTS, USUAL_MS, USUAL_MS, {}, runs, 1.0, failing=percent / 100)
+        context.router.observe(name, load)
+
+
+@when("calls end as {calls}, and {ms:d} ms pass")
+def step_calls_end(context: Any, calls: str, ms: int) -> None:
+    clock = fake_clock()
+    context.share = FailureShare(clock)
+    words = calls.split()
+    for count, word in zip(words[::2], words[1::2], strict=True):
+        for _ in range(int(count)):
+            context.share.note(word == "failed")
+    advance(clock, ms)
+
+
+@then("the share that fails is between {least:d} and {most:d} percent")
+def step_share_fails(context: Any, least: int, most: int) -> None:
+    assert least <= context.share.value() * 100 <= most, context.share.value()
+
+
 @when("a call with {left:d} ms left is placed {age:d} ms later, and {declined} handed it back")
 def step_place_speed(context: Any, left: int, age: int, declined: str) -> None:
     advance(context.clock, age)
