Split health checks and the order of announcements from the target; drop calls cancelled before dispatch

A call whose caller left while it waited for the upstream's speed or a connection was dispatched all the same; it is refused now. The caller's service follows a reload of the settings. Announcements of services that no configuration names are left out.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -154,7 +154,7 @@
             "platform_writes": self._node.store.counters.writes,
             "platform_watches": self._node.store.counters.watches,
             "platform_failures": self._node.store.counters.failures,
-            "speed_checks": self._node.target.speed_checks,
+            "speed_checks": self._node.target.health.speed_checks,
             "retries": self._node.metrics.retries,
         }
 
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -129,7 +129,7 @@
         self.paid_calls = TokenBucket(clock, fleet.paid_call_bytes_per_s)
         adapted = self.settings.platform.adapter
         upstream = self.settings.upstream
-        dialect = PlatformDialect(upstream.service) if adapted else OwnDialect()
+        dialect = PlatformDialect(self._own_service) if adapted else OwnDialect()
         self.target = Target(clock, reactor, self, dialect, upstream, self.settings.node.log_calls)
         self.router = Router(
             clock,
@@ -256,6 +256,15 @@
 
     def announced(self, announcement: Announcement) -> None:
         """The upstream serves, or takes no new work."""
+        book = self.config.book
+        if book is not None and announcement.service not in book.service_by_name:
+            log.warning(
+                "announcement_of_unknown_service",
+                service=announcement.service,
+                instance=announcement.instance,
+                config=self.config.mark()[0],
+            )
+            return
         if self.core.name == "serving" or announcement.leaving:
             self.target.announce(announcement)
 
@@ -268,7 +277,8 @@
         upstream = self.settings.upstream
         if upstream.address and upstream.service:
             host, port = split_address(upstream.address)
-            await self.target.discover(upstream.service, host, port, upstream.health_path)
+            self.target.health.path = upstream.health_path
+            await self.target.discover(upstream.service, host, port)
 
     async def _join(self) -> None:
         """Learn of the other nodes and the configuration, from the platform or from peers."""
@@ -335,18 +345,22 @@
 
     def reload(self, settings: NodeSettings) -> None:
         """Take over the settings that may change while the node runs; the others are logged."""
-        fixed = ("node", "platform", "upstream")
+        fixed = ("node", "platform")
         changed = [key for key in settings.__struct_fields__ if key not in fixed]
         changed = [key for key in changed if getattr(settings, key) != getattr(self.settings, key)]
         ignored = [key for key in fixed if getattr(settings, key) != getattr(self.settings, key)]
         log.info("settings_reloaded", changed=",".join(changed), needs_restart=",".join(ignored))
         self.settings = replace(settings, **{key: getattr(self.settings, key) for key in fixed})
+        self.target.configure(settings.upstream)
         self.router.links = settings.links
         if self.settings.platform.adapter:
             self.retries.set_limits(self._retry_limits())
         if self.config.book is not None:
             self._config_adopted(self.config.book)
 
+    def _own_service(self) -> str:
+        return self.settings.upstream.service
+
     def _retry_limits(self) -> RetryLimits:
         budgets = self.settings.budgets
         return RetryLimits(
@@ -475,7 +489,7 @@
             self.retries.set_limits(RetryLimits(fleet.retry_percent / 100))
         upstream = self.settings.upstream
         service = book.service_by_name.get(upstream.service)
-        self.target.health_path = (service and service.health_path) or upstream.health_path
+        self.target.health.path = (service and service.health_path) or upstream.health_path
         self._caller_factory.set_limits(self._caller_limits(fleet))
         self.paid_calls.set_rate(book.fleet.paid_call_bytes_per_s)
         self.gossip.socket.budget.set_rate(book.fleet.measure_bytes_per_s)
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -13,6 +13,8 @@
 from foxtailproxy.platform import headers as names
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from foxtailproxy.call import Call
 
 MISDIRECTED = 421
@@ -42,10 +44,10 @@
 
 
 class PlatformDialect:
-    """Speaks the platform's headers; `own_service` is that of the target beside this node."""
+    """Speaks the platform's headers; `own_service` tells that of the target beside this node."""
 
-    def __init__(self, own_service: str) -> None:
-        self._own_service = own_service.encode()
+    def __init__(self, own_service: Callable[[], str]) -> None:
+        self._own_service = own_service
 
     def read_caller(self, headers: messages.HeaderList) -> CallerRequest | MalformedCall:
         """What a consumer says with its request; every one has an attempt id."""
@@ -55,7 +57,7 @@
         allowed = messages.get_text(headers, names.TIMEOUT_MS)
         passed_on = [pair for pair in headers if pair[0] not in names.SET_BY_NODES]
         # The caller's service is set where the request begins and travels with it.
-        passed_on.append((names.CALLER_SERVICE, self._own_service))
+        passed_on.append((names.CALLER_SERVICE, self._own_service().encode()))
         return CallerRequest(
             headers=passed_on,
             attempt_id=attempt_id,
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -11,9 +11,9 @@
 
 from foxtailproxy import events
 from foxtailproxy.admission import Admission, Ticket
-from foxtailproxy.clock import WorkTimer, cancel_timer
+from foxtailproxy.clock import WorkTimer
 from foxtailproxy.dialect import Dialect, UpstreamLoad, UpstreamNote
-from foxtailproxy.http.body import BodyStream
+from foxtailproxy.health_check import HealthCheck
 from foxtailproxy.http.errors import (
     ConnectFailed,
     DeadlinePassed,
@@ -37,11 +37,13 @@
     reached_target,
 )
 from foxtailproxy.terms import NO_TERMS
+from foxtailproxy.upstream_process import LeftProcesses, is_late, same_process
 from foxtailproxy.wire import without_own
 
 if TYPE_CHECKING:
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
+    from foxtailproxy.http.body import BodyStream
     from foxtailproxy.http.client import ClientConnection, ClientResponse
     from foxtailproxy.load import Load
 
@@ -56,24 +58,9 @@
 PROBE_MS = 500
 """Time between two tries to reach an upstream that is down, in milliseconds."""
 
-HEALTH_TIMEOUT_MS = 1000
-"""Longest wait for a health check, in milliseconds."""
-
-HEALTHY_STATUS = 200
-HEALTH_BODY_BYTES = 4096
-
-FRESH_SPEED_MS = 80
-"""Age up to which a report of the upstream's speed is taken as it is, in milliseconds."""
-
-SPEED_TIMEOUT_MS = 100
-"""Longest wait for a report of the upstream's speed, in milliseconds."""
-
 HOLD_CHECK_MS = 30
 """Time between two looks whether a slow instance works at its usual speed again."""
 
-LEFT_PROCESSES = 64
-"""Upstream processes remembered as having left at most."""
-
 
 class TargetListener(Protocol):
     """Is told of changes of the target."""
@@ -115,15 +102,11 @@
         self.leaving = False
         self._dialect = dialect
         self._log_calls = log_calls
-        self._slot_percent = settings.slot_percent
-        self._reuse_idle_ms = settings.reuse_idle_ms
-        self._overdue_ms = settings.overdue_ms
-        self.health_path = "/healthz"
-        self.speed_checks = 0
-        self._speed_answers: list[Deferred[None]] | None = None
-        self._left: dict[tuple[str, int], None] = {}
+        self.configure(settings)
+        self._left = LeftProcesses()
         self.down = False
         self.admission = Admission(clock, 0)
+        self.health = HealthCheck(clock, dialect, self.admission.slowness)
         self._clock = clock
         self._reactor = reactor
         self._listener = listener
@@ -134,6 +117,12 @@
         self._probe_timer = WorkTimer(clock, PROBE_MS, self._probe_if_down)
         self._probing = False
 
+    def configure(self, settings: UpstreamSection) -> None:
+        """Take over settings; slots change with the next announcement that has others."""
+        self._slot_percent = settings.slot_percent
+        self._reuse_idle_ms = settings.reuse_idle_ms
+        self._overdue_ms = settings.overdue_ms
+
     def close(self) -> None:
         """Stop the timers and close idle connections."""
         self._sweep_timer.close()
@@ -143,7 +132,7 @@
 
     def announce(self, announcement: Announcement) -> None:
         """The upstream says that it serves, or that it takes no new work."""
-        if self._is_late(announcement):
+        if is_late(self.announcement, announcement):
             log.info(
                 "announcement_late",
                 instance=announcement.instance,
@@ -153,65 +142,30 @@
             return
         if announcement.leaving:
             self.process_left(announcement.instance, announcement.born_ms)
-        if not self._same_process(announcement):
+        known = self.announcement
+        if known is None or not same_process(known, announcement):
             self._adopt(announcement)
         else:
-            self._renew(announcement)
+            self._renew(known, announcement)
 
     def process_left(self, instance: str, born_ms: int) -> None:
         """The upstream process takes no new work, now or when it is announced again."""
-        self._left[instance, born_ms] = None
-        if len(self._left) > LEFT_PROCESSES:
-            del self._left[next(iter(self._left))]
+        self._left.add(instance, born_ms)
         if self.process_gone:
             if self.leaving:
                 self._listener.target_changed()
             self.leave()
 
-    def _has_left(self, announcement: Announcement) -> bool:
-        """Whether the process said that it leaves; one whose start is not known counts as it."""
-        return any(
-            instance == announcement.instance
-            and (born_ms == announcement.born_ms or not born_ms or not announcement.born_ms)
-            for instance, born_ms in self._left
-        )
-
-    def _is_late(self, announcement: Announcement) -> bool:
-        """Whether something newer is known of the upstream."""
-        known = self.announcement
-        if known is None:
-            return False
-        if announcement.born_ms and announcement.born_ms < known.born_ms:
-            return True
-        return (
-            self._same_process(announcement)
-            and announcement.born_ms == known.born_ms
-            and announcement.sequence < known.sequence
-        )
-
-    def _same_process(self, announcement: Announcement) -> bool:
-        known = self.announcement
-        if known is None or announcement.instance != known.instance:
-            return False
-        same_place = (announcement.address, announcement.port, announcement.service) == (
-            known.address,
-            known.port,
-            known.service,
-        )
-        born = (known.born_ms, announcement.born_ms)
-        return same_place and (born[0] == born[1] or 0 in born)
-
-    def _renew(self, announcement: Announcement) -> None:
+    def _renew(self, known: Announcement, announcement: Announcement) -> None:
         """The process that is known already tells of itself once more."""
-        known = self.announcement
         self.announcement = announcement
         if not announcement.instance and (self.leaving or self.down):
             # An upstream without a name of its process starts anew by announcing itself.
             self._adopt(announcement)
             return
-        if known is not None and known.slots != announcement.slots:
+        if known.slots != announcement.slots:
             self._set_slots(announcement.slots)
-        if known is not None and known.born_ms != announcement.born_ms:
+        if known.born_ms != announcement.born_ms:
             self._listener.target_changed()
 
     def _set_slots(self, slots: int) -> None:
@@ -231,33 +185,17 @@
             self._pool.close()
         self._pool = ConnectionPool(self._reactor, announcement.address, announcement.port)
         self.announcement = announcement
-        self.leaving = self._has_left(announcement) if announcement.instance else False
+        self.leaving = self._left.hold(announcement) if announcement.instance else False
         self.down = False
         self._set_slots(announcement.slots)
         self._listener.target_changed()
 
-    async def discover(self, service: str, address: str, port: int, health_path: str) -> None:
+    async def discover(self, service: str, address: str, port: int) -> None:
         """Take up work for an upstream that ran before this node started, by a health check."""
         pool = ConnectionPool(self._reactor, address, port)
-        head = RequestHead(b"GET", health_path.encode(), [(b"host", address.encode())])
-        try:
-            connection = await pool.acquire()
-            timer = self._clock.call_later(HEALTH_TIMEOUT_MS, connection.fail, DeadlinePassed())
-            try:
-                response = await connection.request(head, BodyStream.of(b""))
-            finally:
-                cancel_timer(timer)
-        except HttpError as error:
-            log.info("upstream_not_found", error=type(error).__name__)
-            return
-        finally:
-            pool.close()
-        note = self._dialect.read_upstream(response.head)
-        connection.abort()
-        if self.announcement is not None:
-            return
-        if response.head.status != HEALTHY_STATUS or not note.instance or note.load is None:
-            log.info("upstream_not_healthy", status=response.head.status, instance=note.instance)
+        note = await self.health.healthy(pool)
+        pool.close()
+        if note is None or note.load is None or self.announcement is not None:
             return
         self.announce(Announcement(service, address, port, note.load.slots, instance=note.instance))
 
@@ -273,7 +211,7 @@
     @property
     def process_gone(self) -> bool:
         """Whether the upstream's process itself said that it takes no new work."""
-        return self.announcement is not None and self._has_left(self.announcement)
+        return self.announcement is not None and self._left.hold(self.announcement)
 
     @property
     def serving(self) -> bool:
@@ -316,6 +254,8 @@
         self._by_send[call.send_id] = running
         self._sweep_timer.wake()
         refusal = await self._await_speed(running)
+        if running.cancelled:
+            refusal = NotRun(NotRunReason.CANCELLED)
         if refusal is not None:
             del self._by_send[call.send_id]
             return Error(refusal)
@@ -331,15 +271,15 @@
         call = running.call
         if call.terms == NO_TERMS:
             return None
-        await self._refresh_speed()
+        await self.health.refresh_speed(self._pool)
         if not call.terms.hold_ms and self.admission.expected_ms(call) > call.terms.limit_ms:
             return NotRun(NotRunReason.FASTER_ELSEWHERE)
         until_ms = self._clock.now_ms() + call.terms.hold_ms
         while self._better_later(call) and self._clock.now_ms() < until_ms:
             await self._clock.sleep(HOLD_CHECK_MS)
             if running.cancelled:
-                return NotRun(NotRunReason.CANCELLED)
-            await self._refresh_speed(HOLD_CHECK_MS / 2)
+                return None
+            await self.health.refresh_speed(self._pool, HOLD_CHECK_MS / 2)
         if call.terms.hands_back and self._better_later(call):
             return NotRun(NotRunReason.FASTER_ELSEWHERE)
         return self._refusal(call)
@@ -353,44 +293,6 @@
         """How many times longer than usual work takes at the upstream now."""
         return self.admission.slowness.expected()
 
-    async def _refresh_speed(self, fresh_ms: float = FRESH_SPEED_MS) -> None:
-        """Ask the upstream for its speed where the last report is old; one question at a time."""
-        speed = self.admission.slowness
-        if not speed.known or speed.age_ms < fresh_ms or self.announcement is None:
-            return
-        if self._speed_answers is not None:
-            waiting: Deferred[None] = Deferred()
-            self._speed_answers.append(waiting)
-            await waiting
-            return
-        self._speed_answers = []
-        try:
-            await self._ask_speed()
-        finally:
-            answers, self._speed_answers = self._speed_answers, None
-            for answer in answers:
-                answer.callback(None)
-
-    async def _ask_speed(self) -> None:
-        if self._pool is None:
-            return
-        head = RequestHead(b"GET", self.health_path.encode(), [(b"host", b"upstream")])
-        try:
-            connection = await self._pool.acquire()
-            timer = self._clock.call_later(SPEED_TIMEOUT_MS, connection.fail, DeadlinePassed())
-            try:
-                response = await connection.request(head, BodyStream.of(b""))
-                await response.body.buffer(HEALTH_BODY_BYTES)
-            finally:
-                cancel_timer(timer)
-        except HttpError as error:
-            log.info("speed_not_known", error=type(error).__name__)
-            return
-        self.speed_checks += 1
-        note = self._dialect.read_upstream(response.head)
-        if note.load is not None:
-            self._take_load(note.load)
-
     def may_repeat(self, send_id: str) -> bool:
         """Whether a call that waits or runs here may run again."""
         running = self._by_send.get(send_id)
@@ -433,10 +335,11 @@
             self._end(running)
             self._mark_down()
             return Error(NotRun(NotRunReason.TARGET_DOWN))
-        if call.remaining_ms(self._clock) < 1:
+        if running.cancelled or call.remaining_ms(self._clock) < 1:
             self._end(running)
             connection.abort()
-            return Error(NotRun(NotRunReason.DEADLINE))
+            reason = NotRunReason.CANCELLED if running.cancelled else NotRunReason.DEADLINE
+            return Error(NotRun(reason))
         running.connection = connection
         reused = connection.used
         remaining_ms = int(call.remaining_ms(self._clock))
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -130,7 +130,7 @@
         if kind == "not-run"
         else Unknown(UnknownReason(reason), retry_after_ms=after)
     )
-    context.told = PlatformDialect("kalender").failure(failure, "a1", left)[0]
+    context.told = PlatformDialect(lambda: "kalender").failure(failure, "a1", left)[0]
 
 
 @then("the caller gets status {status:d} and Retry-After {after}")
@@ -147,7 +147,7 @@
 
 @when("a request with {sent} is read at a node whose target serves {service}")
 def step_request(context: Any, sent: str, service: str) -> None:
-    context.request = PlatformDialect(service).read_caller(read_headers(sent))
+    context.request = PlatformDialect(lambda: service).read_caller(read_headers(sent))
 
 
 @then("the request has {what} {value}")
@@ -171,7 +171,7 @@
 @when("an upstream answers {status:d} with {sent}")
 def step_answer(context: Any, status: int, sent: str) -> None:
     head = ResponseHead(status, b"", read_headers(sent))
-    context.note = PlatformDialect("kalender").read_upstream(head)
+    context.note = PlatformDialect(lambda: "kalender").read_upstream(head)
 
 
 @then("the answer is taken as {result}")
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -256,7 +256,7 @@
         self.factory.slowness, self.factory.later, self.factory.checks = slowness, later, 0
         self.listening = loop.listenTCP(0, self.factory, interface="127.0.0.1")
         self.clock = Clock(loop)
-        self.target = Target(self.clock, loop, QuietListener(), PlatformDialect("kalender"))
+        self.target = Target(self.clock, loop, QuietListener(), PlatformDialect(lambda: "kalender"))
         port = self.listening.getHost().port
         self.target.announce(Announcement("kalender", "127.0.0.1", port, 12, instance="i-1"))
         times, speed = self.target.admission.run_times, self.target.admission.slowness
