--- /dev/null
+++ b/foxtailproxy/tests/platform_fleet.py
@@ -0,0 +1,181 @@
+"""Nodes with the platform's interface, their targets and the store, as separate processes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import tempfile
+import threading
+import time
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from foxtailproxy.tests.platform_configs import action, config_text, rule
+from standins.fleet import ADDRESS, Fleet, free_ports, http_json
+
+PREFIX = "X-Foxtailproxy-"
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "node.ini.template"
+SERVICES = ("kalender", "broneering")
+HOST_BY_SERVICE = {"kalender": "days.example", "broneering": "book.example"}
+STOP_GRACE_S = 6
+PAUSE_S = 0.01
+
+
+@dataclass
+class Place:
+    """One machine of the platform: a node and its target."""
+
+    name: str
+    service: str
+    data_center: str
+    caller: int
+    ready: int
+    control: int
+    peer: int
+    admin: int
+    target: int
+    instance: str = ""
+
+    @property
+    def standin(self) -> str:
+        """Address of the target's control interface."""
+        return f"http://{ADDRESS}:{self.target}/_standin"
+
+
+@dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+@dataclass
+class PlatformFleet:
+    """All processes of one scenario."""
+
+    fleet: Fleet = field(default_factory=lambda: Fleet(Path(tempfile.mkdtemp())))
+    places: list[Place] = field(default_factory=list)
+    lost: list[str] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start the store, nodes and targets."""
+        self.fleet.start_platform()
+        for number, service in enumerate(SERVICES * 2):
+            ports = free_ports(6)
+            self.places.append(Place(f"m{number}", service, f"dc-{number // 2}", *ports))
+        for place in self.places:
+            self.start_node(place)
+        for place in self.places:
+            self.start_target(place)
+        for place in self.places:
+            self.fleet.wait_until(lambda p=place: self.knows_all(p), f"{place.name} knows all")
+
+    def start_node(self, place: Place) -> None:
+        """Start a node with the settings that the template gives."""
+        values = {
+            "node": place.name,
+            "region": "pohja",
+            "zone": place.data_center,
+            "ip": ADDRESS,
+            "listen_addrs.outbound": f"{ADDRESS}:{place.caller}",
+            "listen_addrs.ready": f"{ADDRESS}:{place.ready}",
+            "listen_addrs.control": f"{ADDRESS}:{place.control}",
+            "port_range.0": place.peer,
+            "service": place.service,
+            "app_addr": f"{ADDRESS}:{place.target}",
+            "platform.address": f"{ADDRESS}:{self.fleet.platform_port}",
+            "bounds.retry_budget_ratio": 0.2,
+            "bounds.budget_slack": 56,
+            "bounds.budget_window_s": 10,
+            "bounds.grace_s": STOP_GRACE_S,
+        }
+        text = TEMPLATE.read_text(encoding="utf-8")
+        for key, value in values.items():
+            text = text.replace("{{" + key + "}}", str(value))
+        # All nodes share one address here, so the fixed port of the template would be taken.
+        text = text.replace("admin_port = 9464", f"admin_port = {place.admin}")
+        assert "{{" not in text, text
+        settings = self.fleet.folder / f"{place.name}.ini"
+        settings.write_text(text)
+        self.fleet._spawn(place.name, "foxtailproxy", "node", str(settings))
+        self.fleet._wait_for(f"http://{ADDRESS}:{place.admin}/status")
+
+    def start_target(self, place: Place) -> None:
+        """Start a target beside its node."""
+        place.instance = f"i-{uuid.uuid4().hex[:8]}"
+        self.fleet._spawn(
+            f"{place.name}-target",
+            "standins.platform_target",
+            *("--port", str(place.target), "--service", place.service),
+            *("--control", f"{ADDRESS}:{place.control}", "--instance", place.instance),
+        )
+
+    def knows_all(self, place: Place) -> bool:
+        """Whether a node knows all targets."""
+        status = http_json("GET", f"http://{ADDRESS}:{place.admin}/status")
+        return len([m for m in status["members"] if m["service"]]) == len(self.places)
+
+    def write_config(self) -> None:
+        """Write a configuration as the operator does."""
+        listeners = [
+            {"host": HOST_BY_SERVICE[name], "rule_set": [rule(name, "/", action(name))]}
+            for name in SERVICES
+        ]
+        listeners[1]["rule_set"][0]["route_type"] = "non_idempotent"  # type: ignore[index]
+        text = config_text(7, listeners=listeners)
+        body = {"metadata": {"name": "main"}, "spec": json.loads(text)}
+        http_json("POST", f"{self.fleet.platform}/objects/config/main", body)
+
+    def close(self) -> None:
+        """End all processes."""
+        self.fleet.close()
+
+    def is_ready(self, place: Place) -> bool:
+        """What the node tells the platform."""
+        return self.ask(place.ready, "/ready").status == 200
+
+    def ask(
+        self, port: int, path: str, host: str = "days.example", timeout_s: float = 3.0
+    ) -> Reply:
+        """Send one request on a connection of its own. Raises `OSError`."""
+        connection = http.client.HTTPConnection(ADDRESS, port, timeout=timeout_s)
+        headers = {
+            "Host": host,
+            f"{PREFIX}Attempt-Id": uuid.uuid4().hex[:16],
+            f"{PREFIX}Timeout-Ms": "2000",
+        }
+        try:
+            connection.request("GET", path, headers=headers)
+            response = connection.getresponse()
+            got = {name.lower(): value for name, value in response.getheaders()}
+            return Reply(response.status, response.read(), got)
+        finally:
+            connection.close()
+
+    def load(self, seconds: float, places: list[Place]) -> threading.Thread:
+        """Send requests for both services to nodes, one after another, in the background."""
+        thread = threading.Thread(target=self._load, args=(seconds, places))
+        thread.start()
+        return thread
+
+    def _load(self, seconds: float, places: list[Place]) -> None:
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            for place in places:
+                for host in HOST_BY_SERVICE.values():
+                    try:
+                        reply = self.ask(place.caller, "/load", host)
+                    except (OSError, http.client.HTTPException) as error:
+                        self.lost.append(f"{place.name} {host}: {error!r}")
+                        continue
+                    if reply.status != 200:
+                        self.lost.append(f"{place.name} {host}: {reply.status} {reply.body!r}")
+            time.sleep(PAUSE_S)
+
+    def report(self, place: Place) -> Any:
+        """What a target ran, and when its leaving was acknowledged."""
+        return http_json("GET", f"{place.standin}/ledger")
--- /dev/null
+++ b/standins/platform_target.py
@@ -0,0 +1,179 @@
+"""Stand-in for a target of the users' platform: heartbeats, receipts, load, health.
+
+Usage: python -m standins.platform_target --port 7201 --service kalender \\
+    --control 127.0.0.1:7105 --instance i-1
+
+Every request is answered after the `run_ms` of its query, or 5 ms, with the attempt id, a receipt and
+the load. `/_standin/` controls the stand-in: `ledger` (requests that ran), `drain` (say so in the
+heartbeats), `leave` (send a notice of leave and no more heartbeats).
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+import click
+import msgspec
+import treq
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+BEAT_S = 0.5
+PREFIX = "x-foxtailproxy-"
+DEFAULT_RUN_MS = b"5"
+
+
+class RanRequest(msgspec.Struct):
+    """One request that ran; `at_s` is the time of the day at which it began."""
+
+    attempt: str
+    path: str
+    caller: str
+    timeout_ms: str
+    at_s: float
+    cut: bool = False
+
+
+class PlatformTarget:
+    """The HTTP interface of a target."""
+
+    app = Klein()
+
+    def __init__(self, service: str, address: str, control: str, instance: str, slots: int) -> None:
+        self.service = service
+        self.address = address
+        self.control = control
+        self.instance = instance
+        self.slots = slots
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.running = 0
+        self.acknowledged_s = 0.0
+        self.ledger: list[RanRequest] = []
+        self.beats: LoopingCall | None = None
+
+    def start(self) -> None:
+        """Begin to send heartbeats."""
+        self.beats = LoopingCall(self._beat)
+        self.beats.start(BEAT_S)
+
+    def _beat(self) -> Any:
+        return ensureDeferred(self._send_beat())  # type: ignore[arg-type]
+
+    async def _send_beat(self) -> None:
+        self.sequence += 1
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "any",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        await self._call("PUT", msgspec.json.encode(body))
+
+    async def _call(self, method: str, body: bytes | None) -> None:
+        url = f"http://{self.control}/instances/{self.instance}"
+        try:
+            response = await treq.request(method, url, data=body, timeout=1, persistent=False)
+            await treq.content(response)
+        except Exception as error:
+            print(f"no acknowledgement: {type(error).__name__}", file=sys.stderr)
+            return
+        if response.code == 200 and self.state != "ready" and not self.acknowledged_s:
+            self.acknowledged_s = time.time()
+
+    @app.route("/healthz", methods=["GET"])
+    def health(self, request: Any) -> bytes:
+        """Whether the target is well, with its process id and load."""
+        self._headers(request)
+        request.setHeader(f"{PREFIX}instance-id", self.instance)
+        request.setResponseCode(200 if self.state == "ready" else 503)
+        return b""
+
+    @app.route("/_standin/<what>", methods=["GET", "POST"])
+    def command(self, request: Any, what: str) -> Any:
+        """Control of the stand-in."""
+        if what == "drain":
+            self.state = "draining"
+        elif what == "leave":
+            self.state = "left"
+            assert self.beats is not None
+            self.beats.stop()
+            ensureDeferred(self._call("DELETE", None))  # type: ignore[arg-type]
+        report = {"ledger": self.ledger, "acknowledged_s": self.acknowledged_s}
+        return msgspec.json.encode(report)
+
+    @app.route("/", branch=True)
+    def run(self, request: Any) -> Any:
+        """Run a request, unless it expects another process."""
+        expected = request.getHeader(f"{PREFIX}expect-instance")
+        self._headers(request)
+        attempt = request.getHeader(f"{PREFIX}attempt-id") or ""
+        request.setHeader(f"{PREFIX}attempt-id", attempt)
+        if expected not in (None, self.instance):
+            request.setResponseCode(421)
+            return b""
+        ran = RanRequest(
+            attempt,
+            request.uri.decode(),
+            request.getHeader(f"{PREFIX}caller-service") or "",
+            request.getHeader(f"{PREFIX}timeout-ms") or "",
+            time.time(),
+        )
+        self.ledger.append(ran)
+        self.running += 1
+        done: Deferred[bytes] = Deferred()
+        loop: Any = reactor
+        run_ms = float(request.args.get(b"run_ms", [DEFAULT_RUN_MS])[0])
+        timer = loop.callLater(run_ms / 1000, done.callback, b"ran " + attempt.encode())
+
+        def cut(_: Any) -> None:
+            if timer.active():
+                timer.cancel()
+                self.running -= 1
+                ran.cut = True
+
+        request.notifyFinish().addErrback(cut)
+
+        def end(body: bytes) -> bytes:
+            self.running -= 1
+            request.setHeader(f"{PREFIX}response-signature", f"receipt.{attempt}")
+            return body
+
+        return done.addCallback(end)
+
+    def _headers(self, request: Any) -> None:
+        load = f"{self.running},0,{self.slots},100"
+        request.setHeader(f"{PREFIX}backend-load", load)
+
+
+@click.command()
+@click.option("--address", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option("--service", required=True)
+@click.option("--control", required=True, help="Address for heartbeats, as IP:PORT.")
+@click.option("--instance", required=True)
+@click.option("--slots", type=int, default=12)
+def main(address: str, port: int, service: str, control: str, instance: str, slots: int) -> None:
+    """Run the stand-in until it is stopped."""
+    loop: Any = reactor
+    target = PlatformTarget(service, f"{address}:{port}", control, instance, slots)
+    site = Site(target.app.resource())
+    site.noisy = False
+    loop.listenTCP(port, site, interface=address)
+    target.start()
+    loop.run()
+
+
+if __name__ == "__main__":
+    main()
