--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -3,9 +3,9 @@
 Usage: python -m standins.platform_target --port 7201 --service kalender \\
     --control 127.0.0.1:7105 --instance i-1
 
-Every request is answered after the `run_ms` of its query, or 5 ms, with the attempt id, a receipt and
-the load. `/_standin/` controls the stand-in: `ledger` (requests that ran), `drain` (say so in the
-heartbeats), `leave` (send a notice of leave and no more heartbeats).
+Every request is answered after the `run_ms` of its query, or 5 ms, with the attempt id, a receipt
+and the load. `/_standin/` controls the stand-in: `ledger` (requests that ran), `drain` (say so in
+the heartbeats), `leave` (send a notice of leave and no more heartbeats).
 """
 
 from __future__ import annotations
