Split registration from the node; back off from a store that does not answer

Cause: a node that could not join asked the store every second, a watcher every 300 to 900 ms, and every call is priced, refused ones too. The pauses double now, with jitter, up to 8 s for records, which peers tell of anyway, and 1.5 s for the configuration.

--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -15,6 +15,7 @@
 from foxtailproxy.config.rules import RuleBook, parse_rules
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.messages import ConfigObject, MemberState
+from foxtailproxy.registration import back_off_ms
 from foxtailproxy.store import Changes, HistoryGone, Missing
 
 if TYPE_CHECKING:
@@ -40,8 +41,9 @@
 
 SHORTEST_WATCH_MS = 50
 
-RETRY_MS = 300
-"""Shortest pause after the platform did not answer; the longest is three times that."""
+FIRST_RETRY_MS = 300
+LONGEST_RETRY_MS = 1500
+"""Pauses after the store did not answer; a change is to be in force seconds after its return."""
 
 
 def order_of(config: ConfigObject | None) -> tuple[int, str]:
@@ -176,6 +178,7 @@
         return me.node_id in names[:WATCHERS_PER_DATA_CENTER]
 
     async def _watch_forever(self) -> None:
+        failures = 0
         while not self._closed:
             if not self.watches():
                 await self._clock.sleep(CHECK_INTERVAL_MS)
@@ -184,9 +187,13 @@
             changes = await self._changes()
             if changes.is_ok():
                 self._take(changes.ok)
-            if changes.is_error() or self._clock.now_ms() - begun_ms < SHORTEST_WATCH_MS:
-                # Neither an outage nor a platform that answers at once may become a busy loop.
-                await self._clock.sleep(RETRY_MS * (1 + 2 * self._rng.random()))
+            failures = failures + 1 if changes.is_error() else 0
+            if failures or self._clock.now_ms() - begun_ms < SHORTEST_WATCH_MS:
+                # Neither an outage nor a store that answers at once may become a busy loop.
+                pause_ms = back_off_ms(
+                    max(1, failures), FIRST_RETRY_MS, LONGEST_RETRY_MS, self._rng
+                )
+                await self._clock.sleep(pause_ms)
 
     async def _changes(self) -> Result[Changes, StoreFailure]:
         """Wait for changes; a listing starts over where the history is gone or none was seen."""
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -185,16 +185,6 @@
     """
     The upstream takes no new work.
     """
-    cold_ms: Annotated[
-        int,
-        Meta(
-            description="Time for which the upstream is still slow after its start, in milliseconds.",
-            ge=0,
-        ),
-    ] = 0
-    """
-    Time for which the upstream is still slow after its start, in milliseconds.
-    """
 
 
 class ClaimRecord(Struct):
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -7,7 +7,6 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 import structlog
 from msgspec.structs import replace
 from twisted.internet.defer import DeferredList, ensureDeferred, maybeDeferred
@@ -34,9 +33,9 @@
 from foxtailproxy.platform.dialect import PlatformDialect
 from foxtailproxy.platform.store_client import StoreClient
 from foxtailproxy.quarantine import Quarantine
+from foxtailproxy.registration import Registration
 from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.routing import Router
-from foxtailproxy.store import Conflict
 from foxtailproxy.target import Target
 from foxtailproxy.token_bucket import TokenBucket
 
@@ -51,17 +50,8 @@
 
 log = structlog.get_logger()
 
-MEMBER_KIND = "members"
-
-REFRESH_MS = 60_000
-"""Time between two writes of the node's own record to the platform."""
-
 BOOT_ID_LENGTH = 12
 
-REFRESH_JITTER = 0.2
-
-REGISTER_RETRY_MS = 1_000
-
 DRAIN_CHECK_MS = 50
 
 CATCH_UP_ROUNDS = 4
@@ -113,10 +103,8 @@
         self._loops: list[LoopingCall] = []
         self._caller_port: Any = None
         self._stopped: list[Any] = []
-        self._registered = False
         self._drain_started_ms = 0.0
         rng = random.Random(seed)
-        self._rng = rng
         self._build(reactor, rng)
 
     def _build(self, reactor: Any, rng: random.Random) -> None:
@@ -143,6 +131,9 @@
         )
         self.peers = PeerClient(clock, reactor, limits, self.router.observe)
         self.store = StoreClient(reactor, self.settings.platform)
+        self.registration = Registration(
+            clock, self.store, self.table, rng, lambda: self.core.name == "serving"
+        )
         self.config = ConfigSync(
             clock,
             self.store,
@@ -281,62 +272,25 @@
             await self.target.discover(upstream.service, host, port)
 
     async def _join(self) -> None:
-        """Learn of the other nodes and the configuration, from the platform or from peers."""
+        """Learn of the other nodes and the configuration, from the store or from peers."""
+        failures = 0
         while self.core.name == "serving":
             self._compare_with_seeds()
-            # Registered first, so that of two nodes that start at once one sees the other.
-            await self._register()
-            listing = await self.store.list_objects(MEMBER_KIND)
-            if listing.is_ok() and await self.config.read_platform():
-                for stored in listing.ok.objects:
-                    self._take_registered(stored.value)
+            if await self.registration.join() and await self.config.read_platform():
                 break
-            log.warning("platform_unreachable", retry_ms=REGISTER_RETRY_MS)
-            await self.clock.sleep(REGISTER_RETRY_MS)
+            failures += 1
+            log.warning("platform_unreachable", failures=failures)
+            await self.clock.sleep(self.registration.retry_ms(failures))
         self.config.start()
         self._spread_me()
         for _ in range(CATCH_UP_ROUNDS):
             self.gossip.comparison.catch_up()
             await self.clock.sleep(CATCH_UP_PAUSE_MS)
-        await self._keep_registered()
+        await self.registration.keep()
 
     def _compare_with_seeds(self) -> None:
         for address in self.settings.peers.seeds:
-            host, _, port = address.rpartition(":")
-            self.gossip.comparison.compare_with_address((host, int(port)))
-
-    def _take_registered(self, value: str) -> None:
-        try:
-            self.table.merge(msgspec.json.decode(value, type=MemberRecord))
-        except msgspec.MsgspecError:
-            log.warning("member_malformed")
-
-    async def _keep_registered(self) -> None:
-        registered = True
-        while self.core.name == "serving":
-            jitter = 1 + REFRESH_JITTER * (2 * self._rng.random() - 1)
-            await self.clock.sleep((REFRESH_MS if registered else REGISTER_RETRY_MS) * jitter)
-            if self.core.name == "serving":
-                registered = await self._register()
-
-    async def _register(self) -> bool:
-        """Write this node's record to the store; returns whether it was accepted.
-
-        The first write of a process meets the record of the one before it, if there was one.
-        """
-        path = f"{MEMBER_KIND}/{self.table.me.node_id}"
-        first, self._registered = not self._registered, True
-        if first:
-            created = await self.store.create(path, self._own_value())
-            if created.is_ok():
-                return True
-            if isinstance(created.error, Conflict) and created.error.current is not None:
-                self._take_registered(created.error.current.value)
-        written = await self.store.put(path, self._own_value())
-        return written.is_ok()
-
-    def _own_value(self) -> str:
-        return msgspec.json.encode(self.table.me).decode()
+            self.gossip.comparison.compare_with_address(split_address(address))
 
     def _seen_before(self, record: MemberRecord) -> None:
         """Somebody knows a record of an earlier process of this node."""
@@ -376,9 +330,8 @@
         self.target.leave()
         self._spread_me(state=MemberState.leaving)
         self._caller_factory.close_after_answers()
-        if self._registered and not self.target.process_gone:
-            path = f"{MEMBER_KIND}/{self.table.me.node_id}"
-            ensureDeferred(self.store.delete(path, None))  # type: ignore[arg-type]
+        if not self.target.process_gone:
+            ensureDeferred(self.registration.remove())  # type: ignore[arg-type]
         self.clock.call_later(self.settings.limits.leaving_notice_ms, self._close_when_drained)
         return self.core.closed
 
@@ -445,9 +398,9 @@
             born_ms=announcement.born_ms if announcement else 0,
             target_left=self.target.process_gone,
         )
-        if self.target.process_gone and self._registered:
+        if self.target.process_gone:
             # A process that takes this one's place is to know of it, also when all nodes restart.
-            ensureDeferred(self._register())  # type: ignore[arg-type]
+            ensureDeferred(self.registration.update())  # type: ignore[arg-type]
 
     def target_crashed(self, calls: list[Call]) -> None:
         """The upstream died while it ran `calls`: find out which of them did it."""
--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -40,9 +40,6 @@
     born: int = 0
     """Unix milliseconds of the target's start; tells two processes with one id apart."""
 
-    cold_ms: int = 0
-    """How much longer the target is slow after its start, not a moment."""
-
 
 class LeaveNotice(msgspec.Struct):
     """What a target may say as it leaves."""
@@ -81,7 +78,6 @@
             "born_ms": beat.born,
             "sequence": beat.sequence,
             "leaving": beat.state == DRAINING,
-            "cold_ms": max(0, beat.cold_ms),
         }
         return msgspec.convert(values, Announcement)
     except (msgspec.MsgspecError, ValueError) as error:
--- /dev/null
+++ b/foxtailproxy/registration.py
@@ -0,0 +1,125 @@
+"""This node's record in the store, and the records of the others that are read from it at start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from foxtailproxy.models.messages import MemberRecord
+from foxtailproxy.store import Conflict
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.membership import MemberTable
+    from foxtailproxy.store import Store
+
+log = structlog.get_logger()
+
+MEMBER_KIND = "members"
+
+REFRESH_MS = 60_000
+"""Time between two writes of the node's own record."""
+
+REFRESH_JITTER = 0.2
+
+FIRST_RETRY_MS = 500
+LONGEST_RETRY_MS = 8_000
+"""Pauses after the store did not answer: each is twice the one before it, up to the longest. Every
+call is priced, and meanwhile the node learns from its peers."""
+
+
+def back_off_ms(failures: int, first_ms: float, longest_ms: float, rng: random.Random) -> float:
+    """The pause after so many failures in a row: doubled each time, with jitter of a half."""
+    return min(longest_ms, first_ms * 2.0 ** (failures - 1)) * (0.5 + rng.random())
+
+
+class Registration:
+    """Writes the node's own record and reads those of the others; `serving` tells when to go on."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: Store,
+        table: MemberTable,
+        rng: random.Random,
+        serving: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._table = table
+        self._rng = rng
+        self._serving = serving
+        self._written = False
+        self._removed = False
+        self._failures = 0
+
+    @property
+    def _path(self) -> str:
+        return f"{MEMBER_KIND}/{self._table.me.node_id}"
+
+    async def join(self) -> bool:
+        """Write the own record and take in all others; returns whether the store answered."""
+        # Written first, so that of two nodes that start at once one sees the other.
+        self._failures = 0 if await self.write() else 1
+        listing = await self._store.list_objects(MEMBER_KIND)
+        if listing.is_error():
+            return False
+        for stored in listing.ok.objects:
+            self._take(stored.value)
+        return True
+
+    async def write(self) -> bool:
+        """Write the own record; returns whether it was accepted.
+
+        The first write of a process meets the record of the one before it, if there was one.
+        """
+        first, self._written = not self._written, True
+        if first:
+            created = await self._store.create(self._path, self._value())
+            if created.is_ok():
+                return True
+            if isinstance(created.error, Conflict) and created.error.current is not None:
+                self._take(created.error.current.value)
+        written = await self._store.put(self._path, self._value())
+        return written.is_ok()
+
+    async def update(self) -> None:
+        """Write the own record once more if it was written before, since it has changed."""
+        if self._written and not self._removed:
+            await self.write()
+
+    async def keep(self) -> None:
+        """Write the own record every minute or so while the node serves."""
+        while self._serving():
+            await self._clock.sleep(self._pause_ms())
+            if self._serving():
+                self._failures = 0 if await self.write() else self._failures + 1
+
+    def _pause_ms(self) -> float:
+        if self._failures:
+            return self.retry_ms(self._failures)
+        return REFRESH_MS * (1 + REFRESH_JITTER * (2 * self._rng.random() - 1))
+
+    def retry_ms(self, failures: int) -> float:
+        """The pause after so many calls in a row that the store did not answer."""
+        return back_off_ms(failures, FIRST_RETRY_MS, LONGEST_RETRY_MS, self._rng)
+
+    async def remove(self) -> None:
+        """Take the own record out of the store, if it was written."""
+        if self._written:
+            self._removed = True
+            await self._store.delete(self._path, None)
+
+    def _value(self) -> str:
+        return msgspec.json.encode(self._table.me).decode()
+
+    def _take(self, value: str) -> None:
+        try:
+            self._table.merge(msgspec.json.decode(value, type=MemberRecord))
+        except msgspec.MsgspecError as error:
+            log.warning("member_malformed", error=str(error))
--- /dev/null
+++ b/foxtailproxy/tests/steps/registration.py
@@ -0,0 +1,107 @@
+"""Steps for a node's record in the store."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+from expression import Error
+from twisted.internet.defer import ensureDeferred
+
+from foxtailproxy.membership import MemberTable
+from foxtailproxy.registration import MEMBER_KIND, Registration
+from foxtailproxy.store import Conflict, Refused
+from foxtailproxy.tests.fakes import FakePlatform, advance, fake_clock, make_member
+
+OWN_PATH = f"{MEMBER_KIND}/me"
+
+
+class CountingStore(FakePlatform):
+    """A store in memory that counts its calls and may turn writes away."""
+
+    calls = 0
+    refusing_writes = False
+
+    async def read(self, path: str) -> Any:
+        """One object."""
+        self.calls += 1
+        return await super().read(path)
+
+    async def list_objects(self, kind: str, stale: bool = False) -> Any:
+        """All objects of a kind."""
+        self.calls += 1
+        return await super().list_objects(kind, stale)
+
+    async def create(self, path: str, value: str) -> Any:
+        """Write an object that must not exist yet."""
+        self.calls += 1
+        if self.refusing_writes:
+            return Error(Refused("status 429"))
+        known = self.by_name.get(path)
+        if known is not None:
+            return Error(Conflict(known))
+        return await super().create(path, value)
+
+    async def put(self, path: str, value: str) -> Any:
+        """Write an object whatever its version."""
+        self.calls += 1
+        if self.refusing_writes:
+            return Error(Refused("status 429"))
+        if path not in self.by_name:
+            return await super().create(path, value)
+        return await self.update(path, value, self.by_name[path].version)
+
+
+def _write(store: CountingStore, node_id: str, **fields: Any) -> None:
+    value = msgspec.json.encode(make_member(node_id, **fields)).decode()
+    store._apply(f"{MEMBER_KIND}/{node_id}", lambda known: True, value)
+
+
+@given("the store {fault} for {ms:d} ms")
+def step_store_fault(context: Any, fault: str, ms: int) -> None:
+    context.clock = fake_clock()
+    store = CountingStore(context.clock, random.Random(1))
+    context.store = store
+    _write(store, "other")
+    if fault == "holds an older record":
+        _write(store, "me", boot_id="boot-before", instance="i-1", target_left=True)
+    store.faults.outage = fault == "is out"
+    store.refusing_writes = fault == "turns writes away"
+
+    def mend() -> None:
+        store.faults.outage = store.refusing_writes = False
+
+    context.clock.call_later(ms, mend)
+
+
+@when("a node joins it and keeps its record for {ms:d} ms")
+def step_join(context: Any, ms: int) -> None:
+    context.earlier = []
+    clock, store = context.clock, context.store
+    me = make_member("me", incarnation=100)
+    context.members = MemberTable(clock, me, lambda _: None, lambda: None, context.earlier.append)
+    registration = Registration(clock, store, context.members, random.Random(1), lambda: True)
+
+    async def join() -> None:
+        failures = 0
+        while not (await registration.join() and (await store.read("config/main")).is_error()):
+            failures += 1
+            await clock.sleep(registration.retry_ms(failures))
+        await registration.keep()
+
+    ensureDeferred(join())
+    advance(clock, ms)
+
+
+@then("the store has its record and it knows the others")
+def step_joined(context: Any) -> None:
+    held = msgspec.json.decode(context.store.by_name[OWN_PATH].value)
+    assert held[0] == "me" and held[1] >= 100, held
+    assert set(context.members.by_id) == {"me", "other"}
+
+
+@then("it made at most {calls:d} calls")
+def step_calls_made(context: Any, calls: int) -> None:
+    assert context.store.calls <= calls, context.store.calls
--- a/foxtailproxy/tests/store.feature
+++ b/foxtailproxy/tests/store.feature
@@ -73,3 +73,17 @@
       | content             |
       | unreadable bytes    |
       | an older generation |
+
+  Scenario Outline: A node joins while its store <fault>
+    Given the store <fault> for <ms> ms
+    When a node joins it and keeps its record for 6000 ms
+    Then the store has its record and it knows the others
+    And it made at most <calls> calls
+
+    # Three calls suffice: create, list, read; a record that was there is replaced as well.
+    Examples:
+      | fault                 | ms   | calls |
+      | answers               | 0    | 3     |
+      | is out                | 2000 | 12    |
+      | turns writes away     | 2000 | 12    |
+      | holds an older record | 0    | 4     |
