--- a/foxtailproxy/config/rules.py
+++ b/foxtailproxy/config/rules.py
@@ -212,7 +212,10 @@
 
     def __init__(self, route: RouteRule, service_by_name: dict[str, ServiceRule]) -> None:
         self.prefix = route.path_prefix
-        self._weight_by_name = weights_of(route)
+        # A service whose weight is 0 gets nothing, not even a first turn.
+        self._weight_by_name = {
+            name: weight for name, weight in weights_of(route).items() if weight
+        }
         self._total = sum(self._weight_by_name.values())
         # Nodes start at different places of the turn, so that few requests at each share well.
         self._credit_by_name = {
@@ -257,7 +260,6 @@
         self._classes_by_service: dict[str, list[ClassRule]] = {}
         for rule in sorted(rules.classes, key=lambda rule: -len(rule.path_prefix)):
             self._classes_by_service.setdefault(rule.service, []).append(rule)
-        self._class_by_key = {(rule.service, rule.name): rule for rule in rules.classes}
         self.route_count = len(rules.routes)
         self._routes_by_host: dict[str, RouteTable] = {}
         for route in rules.routes:
@@ -281,11 +283,3 @@
             if path.startswith(rule.path_prefix) and (not rule.methods or method in rule.methods):
                 return Match(service, rule)
         return Match(service, ClassRule(service.name, "default"))
-
-    def find(self, service: str, class_name: str) -> Match | None:
-        """The rules of a class by its name, or `None` where the service is not known."""
-        found = self.service_by_name.get(service)
-        if found is None:
-            return None
-        rule = self._class_by_key.get((service, class_name))
-        return Match(found, rule or ClassRule(service, class_name))
--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -30,15 +30,16 @@
       | open  | days.example | /days/open/1 | priority     | 9     |
       | book  | book.example | /b/1         | idempotent   | False |
 
-  Scenario Outline: <count> requests share a route with weights 90 and 10
+  Scenario Outline: <count> requests share a route with weights <weights>
     Given the platform's configuration
-    When <count> requests for a shared route come to <nodes> nodes
+    When <count> requests for <path> come to <nodes> nodes
     Then the second service gets between <least> and <most> of them
 
     Examples:
-      | count | nodes | least | most |
-      | 300   | 1     | 29    | 31   |
-      | 300   | 16    | 15    | 45   |
+      | weights   | path     | count | nodes | least | most |
+      | 90 and 10 | /split/1 | 300   | 1     | 29    | 31   |
+      | 90 and 10 | /split/1 | 300   | 16    | 15    | 45   |
+      | 5 and 0   | /none/1  | 300   | 16    | 0     | 0    |
 
   Scenario Outline: A configuration with <what> is refused with a reason
     When a configuration with <what> is read
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -58,11 +58,11 @@
     assert str(getattr(rule, field)) == value, rule
 
 
-@when("{count:d} requests for a shared route come to {nodes:d} nodes")
-def step_share(context: Any, count: int, nodes: int) -> None:
+@when("{count:d} requests for {path} come to {nodes:d} nodes")
+def step_share(context: Any, count: int, path: str, nodes: int) -> None:
     books = [new_book() for _ in range(nodes)]
     names = [
-        books[number % nodes].match("days.example", "GET", "/split/1").service.name
+        books[number % nodes].match("days.example", "GET", path).service.name
         for number in range(count)
     ]
     context.second = names.count("meistrid")
