--- a/foxtailproxy/tests/platform_configs.py
+++ b/foxtailproxy/tests/platform_configs.py
@@ -37,7 +37,11 @@
                 "rule_set": [
                     rule("days", "/days/", action("kalender")),
                     rule("open", "/days/open/", action("meistrid"), priority=0),
-                    rule("none", "/none/", action(split={"kalender": 5, "meistrid": 0})),
+                    rule(
+                        "none",
+                        "/none/",
+                        action(split={"kalender": 5, "broneering": 5, "meistrid": 0}),
+                    ),
                     rule("split", "/split/", action(split={"kalender": 90, "meistrid": 10})),
                 ],
             },
