Ask 300 nodes in the test of a service of weight 0

With one other service no random start gives weight 0 a turn; with two and 16 nodes about every second run passed.

--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -39,7 +39,7 @@
       | weights   | path     | count | nodes | least | most |
       | 90 and 10 | /split/1 | 300   | 1     | 29    | 31   |
       | 90 and 10 | /split/1 | 300   | 16    | 15    | 45   |
-      | 5, 5 and 0 | /none/1 | 300   | 16    | 0     | 0    |
+      | 5, 5 and 0 | /none/1 | 900   | 300   | 0     | 0    |
 
   Scenario Outline: A configuration with <what> is refused with a reason
     When a configuration with <what> is read
