Take only calls that end before the process while a node is stopped

Cause: a node that is being stopped takes calls until its last one has ended, and where callers keep coming it cut those in flight when its grace was over. A scenario with callers that never pause was red before: requests cut after they had been taken. Ruled out by reading: settings reload, which closes nothing, and idle connections.

From the end of the notice on, a call whose deadline is after the end of the process is answered at once as not run.

--- a/foxtailproxy/entry.py
+++ b/foxtailproxy/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -38,6 +39,9 @@
 
 log = structlog.get_logger()
 
+LEAVING_RETRY_MS = 500
+"""Time after which a caller may come back to a node that is being restarted, in milliseconds."""
+
 DEADLINE_GRACE_MS = 50
 """Time after a call's deadline in which a target's own refusal may still arrive."""
 
@@ -98,6 +102,8 @@
     ) -> None:
         self.clock = clock
         self.pending = 0
+        self._take_until_ms = math.inf
+        self._end_ms = math.inf
         self._limits = limits
         self._config = config
         self._dispatcher = dispatcher
@@ -119,6 +125,14 @@
         finally:
             self.pending -= 1
 
+    def drain(self, take_until_ms: float, end_ms: float) -> None:
+        """The process ends at `end_ms`: from `take_until_ms` take only calls that end before it."""
+        self._take_until_ms = take_until_ms
+        self._end_ms = end_ms
+
+    def _ends_too_late(self, deadline_ms: float) -> bool:
+        return self.clock.now_ms() > self._take_until_ms and deadline_ms > self._end_ms
+
     def cancel(self, call: Call) -> None:
         """The caller has gone or was told the outcome; stop what may run again."""
         self._dispatcher.cancel(call)
@@ -185,6 +199,8 @@
         payload = exchange.body.held() if whole else None
         service, rule = match.service, match.rule
         allowed_ms = rule.deadline_ms if request.allowed_ms is None else request.allowed_ms
+        if self._ends_too_late(received_ms + min(rule.deadline_ms, allowed_ms)):
+            return NotRun(NotRunReason.LEAVING, LEAVING_RETRY_MS)
         return Call(
             head=messages.RequestHead(exchange.head.method, exchange.head.target, request.headers),
             service=service,
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -327,6 +327,10 @@
             return self.core.closed
         self.lifecycle.drain()
         self._drain_started_ms = self.clock.now_ms()
+        self.entry.drain(
+            self._drain_started_ms + self.settings.limits.leaving_notice_ms,
+            self._drain_started_ms + self._drain_limit_ms(),
+        )
         self.target.leave()
         self._spread_me(state=MemberState.leaving)
         self._caller_factory.close_after_answers()
--- a/foxtailproxy/tests/live_platform.feature
+++ b/foxtailproxy/tests/live_platform.feature
@@ -33,6 +33,11 @@
     Then it is not ready at once and ends within 6000 ms
     And no request was lost
 
+  Scenario: A node is stopped while its own callers keep coming
+    Given nodes on the platform with a configuration
+    When a node gets SIGTERM while its own callers send requests of 300 ms without a pause
+    Then it ends within 6000 ms and cut no request that it had taken
+
   Scenario: A caller leaves while its request runs at another node's target
     Given nodes on the platform with a configuration
     When a caller leaves a request that runs for 3000 ms after 200 ms
--- a/foxtailproxy/tests/steps/live_platform.py
+++ b/foxtailproxy/tests/steps/live_platform.py
@@ -5,6 +5,7 @@
 import http.client
 import signal
 import socket
+import threading
 import time
 from typing import Any
 
@@ -16,6 +17,8 @@
 LOAD_S = 3.0
 RESTART_LOAD_S = 1.0
 FIRST_BEAT_S = 1.0
+BUSY_CALLERS = 8
+NEVER_TAKEN_S = 0.1
 
 
 @given("nodes on the platform without a configuration")
@@ -160,6 +163,40 @@
     process.wait(max(0.1, context.stopped_s + ms / 1000 - time.monotonic()))
 
 
+@when("a node gets SIGTERM while its own callers send requests of {run_ms:d} ms without a pause")
+def step_terminated_busy(context: Any, run_ms: int) -> None:
+    live = context.live
+    context.victim = live.places[0]
+    context.cut = []
+
+    def call_on() -> None:
+        while live.fleet.by_name[context.victim.name].poll() is None:
+            sent_s = time.monotonic()
+            try:
+                live.ask(context.victim.caller, f"/busy?run_ms={run_ms}")
+            except (OSError, http.client.HTTPException) as error:
+                # A connection that the process never accepted fails at once.
+                if time.monotonic() - sent_s > NEVER_TAKEN_S:
+                    context.cut.append(repr(error))
+                time.sleep(0.05)
+
+    threads = [threading.Thread(target=call_on) for _ in range(BUSY_CALLERS)]
+    for thread in threads:
+        thread.start()
+    time.sleep(1)
+    live.fleet.signal(context.victim.name, signal.SIGTERM)
+    context.stopped_s = time.monotonic()
+    for thread in threads:
+        thread.join()
+
+
+@then("it ends within {ms:d} ms and cut no request that it had taken")
+def step_cut_none(context: Any, ms: int) -> None:
+    process = context.live.fleet.by_name[context.victim.name]
+    process.wait(max(0.1, context.stopped_s + ms / 1000 - time.monotonic()))
+    assert not context.cut, context.cut
+
+
 @when("a caller leaves a request that runs for {run_ms:d} ms after {ms:d} ms")
 def step_caller_leaves(context: Any, run_ms: int, ms: int) -> None:
     live = context.live
