Follow steady time instead of the time of day

Cause: Twisted's reactor reads time.time(). Every timer, deadline and age in the node followed the time of day, so a step forward ended all calls in flight and a step back held up deadlines, retries and health checks for as long. Found by reading; the users' list of troubles has clock steps of seconds on any deployment.

Ruled out: CLOCK_MONOTONIC, which stands still while an instance is suspended, so that deadlines of its callers would be taken as still ahead.

Change: the node's reactor follows CLOCK_BOOTTIME. The test was red before.

--- a/foxtailproxy/clock.py
+++ b/foxtailproxy/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -16,6 +17,19 @@
 """A call scheduled in the reactor: an `IDelayedCall`."""
 
 
+def steady_seconds() -> float:
+    """Seconds since the instance started: never set, and counted while it is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def use_steady_time(reactor: Any) -> None:
+    """Let a reactor's timers follow `steady_seconds`, before anything is scheduled.
+
+    Twisted reads the time of day, so that a step of it would end or hold up whatever waits.
+    """
+    reactor.seconds = steady_seconds
+
+
 class Clock:
     """Reads time and schedules calls, in milliseconds.
 
--- a/foxtailproxy/commands/node.py
+++ b/foxtailproxy/commands/node.py
@@ -5,6 +5,7 @@
 import signal
 from typing import Any
 
+from foxtailproxy.clock import use_steady_time
 from foxtailproxy.config.settings import load_settings
 from foxtailproxy.exceptions import FoxtailproxyError
 from foxtailproxy.logs import configure_logs
@@ -31,6 +32,7 @@
     from foxtailproxy.settings_watch import SettingsWatch
 
     configure_logs()
+    use_steady_time(reactor)
     node = Node(reactor, settings)
     try:
         node.start()
--- a/foxtailproxy/tests/process.feature
+++ b/foxtailproxy/tests/process.feature
@@ -13,6 +13,11 @@
       | becomes unreadable | 1100 | 0    | 500     |
       | goes and comes back with silence 900 | 3000 | 1 | 900 |
 
+  Scenario: The time of day is set while a timer runs
+    Given a reactor that follows steady time
+    When a timer of 30 s is set
+    Then it is due by the time since the start of the instance, whatever the time of day
+
   Scenario: A stream that nobody reads holds up nothing and loses only what is beyond the buffer
     Given a log stream into a pipe that nobody reads
     When 20000 lines are logged
--- a/foxtailproxy/tests/steps/process.py
+++ b/foxtailproxy/tests/steps/process.py
@@ -10,7 +10,9 @@
 
 import structlog
 from behave import given, then, when
+from twisted.internet.epollreactor import EPollReactor
 
+from foxtailproxy.clock import use_steady_time
 from foxtailproxy.config.settings import parse_settings
 from foxtailproxy.logs import EventSampler, LogStream
 from foxtailproxy.settings_watch import SettingsWatch
@@ -19,6 +21,8 @@
 DATA = Path(__file__).parents[1] / "data" / "node-valid.ini"
 PIPE_BYTES = 1 << 20
 
+STEADY_TOLERANCE_S = 1.0
+
 
 @given("a node's settings file that is watched")
 def step_watched(context: Any) -> None:
@@ -59,6 +63,23 @@
     assert newest.limits.silence_ms == silence
 
 
+@given("a reactor that follows steady time")
+def step_steady(context: Any) -> None:
+    context.reactor = EPollReactor()
+    use_steady_time(context.reactor)
+
+
+@when("a timer of {seconds:d} s is set")
+def step_timer(context: Any, seconds: int) -> None:
+    context.timer = context.reactor.callLater(seconds, lambda: None)
+    context.due_s = time.clock_gettime(time.CLOCK_BOOTTIME) + seconds
+
+
+@then("it is due by the time since the start of the instance, whatever the time of day")
+def step_due(context: Any) -> None:
+    assert abs(context.timer.getTime() - context.due_s) < STEADY_TOLERANCE_S
+
+
 @given("a log stream into a pipe that nobody reads")
 def step_pipe(context: Any) -> None:
     context.read_end, write_end = os.pipe()
