Leave out late answers to earlier requests and take the right one behind them

Cause: a target may answer a request twice, the second time where the next answer on that connection is due. The node saw the other attempt id, cut the connection and ended the call as lost: a booking got 502 though its own answer was on its way. A late answer of a health check, which has no attempt id, was even taken for a call's: a success that no target had given.

Change: the connection asks the dialect whether a response answers its request; one that does not is skipped with its body, the next is awaited, and the connection is closed afterwards. On the platform an answer without an attempt id is taken for a call's only where it is a refusal.

--- a/foxtailproxy/dialect.py
+++ b/foxtailproxy/dialect.py
@@ -58,12 +58,10 @@
 class UpstreamNote:
     """What an upstream says beside its answer.
 
-    `attempt_id` is the call that the answer belongs to, empty where it does not say. `instance` is
-    the process that answered.
+    `instance` is the process that answered.
     """
 
     not_run: bool = False
-    attempt_id: str = ""
     load: UpstreamLoad | None = None
     instance: str = ""
     another_instance: bool = False
@@ -81,6 +79,9 @@
     def read_upstream(self, head: messages.ResponseHead) -> UpstreamNote:
         """What an upstream says beside its answer."""
 
+    def is_answer(self, head: messages.ResponseHead, attempt_id: str) -> bool:
+        """Whether a response is the one to a call, or to a health check where the id is empty."""
+
     def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
         """The headers that a caller gets with an upstream's answer."""
 
@@ -117,6 +118,10 @@
         not_run = messages.get_text(head.headers, wire.OUTCOME).startswith("not-run")
         return UpstreamNote(not_run=not_run)
 
+    def is_answer(self, head: messages.ResponseHead, attempt_id: str) -> bool:
+        """Upstreams do not say which call they answer."""
+        return True
+
     def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
         """The upstream's headers and the attempt id."""
         return [*messages.end_to_end(headers), (wire.ATTEMPT, attempt_id.encode())]
--- a/foxtailproxy/health_check.py
+++ b/foxtailproxy/health_check.py
@@ -93,7 +93,9 @@
         connection = await pool.acquire()
         timer = self._clock.call_later(timeout_ms, connection.fail, DeadlinePassed())
         try:
-            response = await connection.request(head, BodyStream.of(b""))
+            response = await connection.request(
+                head, BodyStream.of(b""), lambda answer: self._dialect.is_answer(answer, "")
+            )
             await response.body.buffer(BODY_BYTES)
         finally:
             cancel_timer(timer)
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    IsAnswer = Callable[[messages.ResponseHead], bool]
+
 
 @dataclass(slots=True)
 class ClientResponse:
@@ -57,6 +59,7 @@
         self._request_sent = True
         self._request_chunked = False
         self._reading_paused = False
+        self._is_answer: IsAnswer | None = None
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -65,6 +68,7 @@
         self._head_done = False
         self._finished = False
         self._surplus = False
+        self._skipping = False
         self._keep_alive = False
 
     @property
@@ -72,12 +76,17 @@
         """Whether an exchange is in progress."""
         return self._waiting is not None or self._response_body is not None
 
-    def request(self, head: messages.RequestHead, body: BodyStream) -> Deferred[ClientResponse]:
+    def request(
+        self, head: messages.RequestHead, body: BodyStream, is_answer: IsAnswer | None = None
+    ) -> Deferred[ClientResponse]:
         """Send a request.
 
-        Fails with an `HttpError`. Cancelling the deferred cuts the connection.
+        Responses that `is_answer` does not know are late ones to earlier requests: they are left
+        out, and the connection is not used again. Fails with an `HttpError`. Cancelling the
+        deferred cuts the connection.
         """
         self.used = True
+        self._is_answer = is_answer
         self._head_request = head.method == b"HEAD"
         self._waiting = Deferred(lambda _: self.abort())
         waiting = self._waiting
@@ -193,7 +202,7 @@
 
     def on_message_begin(self) -> None:
         """A response begins."""
-        self._surplus = self._finished
+        self._surplus = self._surplus or self._finished
         self._reason = b""
         self._headers = []
         self._head_done = False
@@ -213,9 +222,12 @@
         status = self._parser.get_status_code()
         if status < 200 or self._waiting is None:
             return
+        head = messages.ResponseHead(status, self._reason, self._headers)
+        if self._is_answer is not None and not self._is_answer(head):
+            self._skipping = self._surplus = True
+            return
         self._keep_alive = self._may_reuse(status)
         self.stated_idle_ms = messages.idle_timeout_ms(self._headers)
-        head = messages.ResponseHead(status, self._reason, self._headers)
         length = messages.get_header(self._headers, b"content-length")
         body = BodyStream(None if length is None else int(length), self)
         if self._head_request or status in messages.BODILESS_STATUSES:
@@ -243,6 +255,9 @@
             if self.on_interim is not None:
                 self.on_interim(self._headers)
             return
+        if self._skipping:
+            self._skipping = False
+            return
         self._finished = True
         body, self._response_body = self._response_body, None
         if body is not None:
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -20,6 +20,8 @@
 MISDIRECTED = 421
 """Status of a target that is not the expected one; it has not run the request."""
 
+LOWEST_REFUSAL = 400
+
 STATUS_BY_REASON = {
     NotRunReason.UNKNOWN_SERVICE: 404,
     NotRunReason.BAD_REQUEST: 400,
@@ -78,12 +80,21 @@
         misdirected = head.status == MISDIRECTED
         return UpstreamNote(
             not_run=misdirected or messages.get_header(headers, names.NOT_EXECUTED) is not None,
-            attempt_id=messages.get_text(headers, names.ATTEMPT_ID),
             load=parse_load(messages.get_text(headers, names.BACKEND_LOAD)),
             instance=messages.get_text(headers, names.INSTANCE_ID),
             another_instance=misdirected,
         )
 
+    def is_answer(self, head: messages.ResponseHead, attempt_id: str) -> bool:
+        """Targets name the attempt in each answer, but in some refusals and in health checks."""
+        named = messages.get_text(head.headers, names.ATTEMPT_ID)
+        if named or not attempt_id:
+            return named == attempt_id
+        if head.status == MISDIRECTED:
+            return True
+        is_check = messages.get_header(head.headers, names.INSTANCE_ID) is not None
+        return head.status >= LOWEST_REFUSAL and not is_check
+
     def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
         """The target's headers without those that only nodes use."""
         return [
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -19,7 +19,6 @@
     DeadlinePassed,
     ExchangeCancelled,
     HttpError,
-    MalformedResponse,
 )
 from foxtailproxy.http.messages import RequestHead, ResponseHead, end_to_end
 from foxtailproxy.http.pool import ConnectionPool
@@ -41,6 +40,8 @@
 from foxtailproxy.wire import without_own
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
     from foxtailproxy.http.body import BodyStream
@@ -346,7 +347,7 @@
         headers = self._dialect.upstream_headers(call, remaining_ms, announcement.instance)
         head = RequestHead(call.head.method, call.head.target, headers)
         try:
-            response = await connection.request(head, call.body())
+            response = await connection.request(head, call.body(), self._is_answer_to(call))
         except HttpError as error:
             failure = await self._lost(running, error)
             if reused and failure.reason is UnknownReason.UPSTREAM_LOST and not failure.crashed:
@@ -361,17 +362,19 @@
         self._pool.drop_idle()
         return await self._run(call, [])
 
+    def _is_answer_to(self, call: Call) -> Callable[[ResponseHead], bool]:
+        def is_answer(head: ResponseHead) -> bool:
+            mine = self._dialect.is_answer(head, call.attempt_id)
+            if not mine:
+                # The answer to an earlier call came late, or twice; the right one is behind it.
+                log.warning("answer_of_another_call", attempt=call.attempt_id, status=head.status)
+            return mine
+
+        return is_answer
+
     def _answered(self, running: RunningCall, response: ClientResponse) -> Outcome:
         note = self._dialect.read_upstream(response.head)
         assert running.connection is not None
-        if note.attempt_id and note.attempt_id != running.call.attempt_id:
-            # The answer to an earlier call came late, or twice.
-            log.warning(
-                "answer_of_another_call", attempt=running.call.attempt_id, got=note.attempt_id
-            )
-            running.connection.fail(MalformedResponse())
-            self._end(running)
-            return Error(Unknown(UnknownReason.UPSTREAM_LOST))
         self._end_with_body(running, response.body)
         if note.load is not None:
             self._take_load(note.load)
--- a/foxtailproxy/tests/steps/target.py
+++ b/foxtailproxy/tests/steps/target.py
@@ -11,9 +11,10 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from foxtailproxy.clock import Clock
-from foxtailproxy.dialect import OwnDialect
+from foxtailproxy.dialect import Dialect, OwnDialect
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.models.settings import UpstreamSection
+from foxtailproxy.platform.dialect import PlatformDialect
 from foxtailproxy.target import Target
 from foxtailproxy.tests.fakes import QuietListener, make_call
 from standins.fleet import free_ports
@@ -25,6 +26,12 @@
 
 
 OVERDUE_MS = 100
+REUSE_IDLE_MS = 1000
+
+HEALTHY = (
+    b"HTTP/1.1 200 OK\r\nx-foxtailproxy-instance-id: i-1\r\n"
+    b"x-foxtailproxy-backend-load: 0,0,2,100\r\ncontent-length: 0\r\n\r\n"
+)
 
 
 class FakeUpstream(Protocol):
@@ -50,12 +57,34 @@
             self.transport.write(REFUSAL if "refuses" in self.factory.habit else ANSWER)
 
 
+class FakePlatformUpstream(FakeUpstream):
+    """Echoes the attempt id; by habit it sends something else before the right answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.earlier = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Answer a request, which fits in one packet."""
+        attempt = data.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+        answer = b"HTTP/1.1 200 OK\r\nx-foxtailproxy-attempt-id: %s\r\n" % attempt
+        answer += b"content-length: %d\r\n\r\n%s" % (len(attempt), attempt)
+        first = b""
+        if self.earlier and "again" in self.factory.habit:
+            first = self.earlier
+        elif self.earlier and "late" in self.factory.habit:
+            first = HEALTHY
+        self.earlier = answer
+        self.transport.write(first + answer)
+
+
 class OneTarget:
     """A target and its upstream."""
 
-    def __init__(self, habit: str) -> None:
+    def __init__(self, habit: str, platform: bool = False) -> None:
         loop: Any = reactor
-        self.factory: Any = Factory.forProtocol(FakeUpstream)
+        kind = FakePlatformUpstream if platform else FakeUpstream
+        self.factory: Any = Factory.forProtocol(kind)
         self.factory.noisy = False
         self.factory.habit = habit
         self.factory.connections = 0
@@ -65,7 +94,11 @@
             self.listening = loop.listenTCP(port, self.factory, interface="127.0.0.1")
         self.clock = Clock(loop)
         settings = UpstreamSection(overdue_ms=OVERDUE_MS)
-        self.target = Target(self.clock, loop, QuietListener(), OwnDialect(), settings)
+        dialect: Dialect = OwnDialect()
+        if platform:
+            settings = UpstreamSection(overdue_ms=OVERDUE_MS, reuse_idle_ms=REUSE_IDLE_MS)
+            dialect = PlatformDialect(lambda: "kalender")
+        self.target = Target(self.clock, loop, QuietListener(), dialect, settings)
         self.target.announce(Announcement("kalender", "127.0.0.1", port, 2))
 
     def close(self) -> None:
@@ -78,6 +111,11 @@
             self.listening.stopListening()
 
 
+@given("an upstream of the platform that {habit}")
+def step_platform_upstream(context: Any, habit: str) -> None:
+    context.live = threads.blockingCallFromThread(reactor, OneTarget, habit, True)
+
+
 @given("an upstream that {habit}")
 def step_upstream(context: Any, habit: str) -> None:
     context.live = threads.blockingCallFromThread(reactor, OneTarget, habit)
@@ -89,10 +127,19 @@
     context.ends = []
     for _ in range(count):
         call = make_call(one.clock, rule={"idempotent": may == "may"})
+        call.head.headers.append((b"x-foxtailproxy-attempt-id", call.attempt_id.encode()))
         outcome = threads.blockingCallFromThread(
             reactor, lambda call=call: ensureDeferred(one.target.run(call))
         )
         context.ends.append("answered" if outcome.is_ok() else str(outcome.error.reason))
+        if outcome.is_ok():
+            context.own = getattr(context, "own", [])
+            context.own.append(outcome.ok.body.held() == call.attempt_id.encode())
+
+
+@then("each got its own answer")
+def step_own_answers(context: Any) -> None:
+    assert all(context.own), context.own
 
 
 @then("they end as {outcomes}")
--- a/foxtailproxy/tests/target.feature
+++ b/foxtailproxy/tests/target.feature
@@ -15,6 +15,21 @@
       | refuses by outcome                    | may not | upstream-refused upstream-refused upstream-refused | 3 |
       | does not listen                       | may not | target-down target-down target-down     | 0           |
 
+  Scenario Outline: An upstream of the platform that <habit>
+    Given an upstream of the platform that <habit>
+    When 3 calls that <may> run again are sent one after another
+    Then they end as answered answered answered
+    And each got its own answer
+    And the upstream opened <connections> connections
+
+    # An answer to an earlier request is left out, and the connection closed after the right one.
+    Examples:
+      | habit                                            | may     | connections |
+      | answers each call once                           | may     | 1           |
+      | answers each call again before the next one      | may     | 2           |
+      | answers each call again before the next one      | may not | 2           |
+      | answers a health check late, before the next one | may     | 2           |
+
   Scenario Outline: Calls that <may> run again keep their slots <until>
     Given an upstream that never answers
     When 2 calls that <may> run again have 100 ms, and <after> ms pass
