Add `foxtailproxy explain ID FILE...`

An on-call engineer has a request's id and the log files of all nodes. The command gathers its lines in order of time, says at each step what was decided from what, adds the calls that the request made, and what its nodes came to believe in the 5 s before.

--- a/foxtailproxy/__main__.py
+++ b/foxtailproxy/__main__.py
@@ -81,6 +81,21 @@
     run_node(settings)
 
 
+@cli.command(epilog=EXIT_CODES)
+@click.argument("attempt", metavar="ID")
+@click.argument("files", metavar="FILE...", nargs=-1, required=True, type=click.Path())
+@json_option
+def explain(attempt: str, files: tuple[str, ...], as_json: bool) -> None:
+    """Show what decided the outcome of the request ID, from the log FILEs of all nodes.
+
+    Example: foxtailproxy explain 9c41d07be2a35f68 logs/*.log
+    """
+    from foxtailproxy.commands import explain as commands
+
+    explanation = commands.explain(attempt, list(files))
+    _print(explanation, commands.format_explanation(explanation), as_json)
+
+
 @cli.group(epilog=EXIT_CODES)
 def config() -> None:
     """Check, compare, apply and show the configuration."""
--- a/foxtailproxy/tests/commands.feature
+++ b/foxtailproxy/tests/commands.feature
@@ -21,3 +21,20 @@
       | status 127.0.0.1:1                                          | 5    | ConnectionRefusedError           |
       | config show --platform http://127.0.0.1:1                   | 5    | platform: ConnectionRefusedError |
       | config apply DATA/rules-valid.ini --platform http://127.0.0.1:1 | 5 | platform: ConnectionRefusedError |
+      | explain a1 DATA/none.log                                    | 3    | No such file                     |
+      | explain zz DATA/log-n1.log                                  | 1    | no line names the request zz     |
+
+  Scenario Outline: foxtailproxy explain <id> tells <what>
+    When foxtailproxy is run with explain <id> DATA/log-n1.log DATA/log-n2.log
+    Then it ends with exit code 0 and says <text>
+
+    Examples:
+      | id | what                      | text                                                        |
+      | a1 | the nodes                 | request a1: 2 node(s)                                       |
+      | a1 | why it was handed back    | send #0 failed: not-run faster-elsewhere (handed back       |
+      | a1 | what it was chosen from   | target n2 expected in 159 ms by a report 747 ms old         |
+      | a1 | what the caller was told  | caller told: not-run overloaded (the expected wait          |
+      | a1 | its inner calls           | calls that it made:                                         |
+      | a1 | beliefs before it         | member_changed member=n3 state=dead                         |
+      | b2 | a refusal                 | refused no-configuration (the node had no configuration yet) |
+      | c3 | a time that was over      | unknown deadline (the route's timeout or the caller's own   |
