Take fractions and missing values of a deployment's bounds

Cause: the deploy template renders the deployment's bounds into the node's settings. A bound that a deployment lacks is rendered as nothing, which was an error as well.

Change: both take fractions; a key without a value keeps its default.

--- a/foxtailproxy/config/ini.py
+++ b/foxtailproxy/config/ini.py
@@ -72,6 +72,9 @@
             known = ", ".join(sorted(set(fields) - set(given)))
             problems.append(Problem(section, key, raw[key], f"unknown key; known: {known}"))
     for name, field in fields.items():
+        if name in raw and not raw[name].strip() and not field.required:
+            # A template leaves a key without a value where the deployment has none.
+            continue
         if name in raw and name not in given:
             converted = _convert(hints[name], section, name, raw[name])
             if converted.is_ok():
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -358,18 +358,18 @@
     Calls sent to a further target, as a share of the calls of a service in one window.
     """
     retry_slack: Annotated[
-        int,
+        float,
         Meta(
             description="Calls sent to a further target that are allowed in one window beside that share, for all nodes together.",
-            ge=0,
-            le=1000000,
+            ge=0.0,
+            le=1000000.0,
         ),
     ] = 0
     """
     Calls sent to a further target that are allowed in one window beside that share, for all nodes together.
     """
     retry_window_s: Annotated[
-        int, Meta(description="Length of the window, in seconds.", ge=1, le=3600)
+        float, Meta(description="Length of the window, in seconds.", ge=0.1, le=3600.0)
     ] = 10
     """
     Length of the window, in seconds.
--- a/foxtailproxy/retry_budget.py
+++ b/foxtailproxy/retry_budget.py
@@ -31,7 +31,7 @@
     """
 
     ratio: float
-    slack: int = 0
+    slack: float = 0
     window_ms: float = 10_000.0
 
 
--- a/foxtailproxy/tests/settings.feature
+++ b/foxtailproxy/tests/settings.feature
@@ -14,6 +14,20 @@
       | configuration | rules-valid       |
       | configuration | rules-many-errors |
 
+  Scenario Outline: A template that gives <key> = <value>
+    When settings with <key> = <value> in section <section> are read
+    Then <key> is <result>
+
+    # A deployment's bounds may be fractions, and one that it lacks is rendered as nothing.
+    Examples:
+      | section   | key            | value | result |
+      | budgets   | retry_slack    | 36.25 | 36.25  |
+      | budgets   | retry_window_s | 7.5   | 7.5    |
+      | limits    | stop_grace_s   | 6.5   | 6.5    |
+      | budgets   | retry_ratio    | -     | 0.1    |
+      | budgets   | retry_window_s | -     | 10     |
+      | upstream  | health_path    | -     | /healthz |
+
   Scenario: The operators' library prints what the parser reads
     When the demonstration's configuration is built
     Then printing it, reading it and printing it again gives the same text
--- a/foxtailproxy/tests/steps/settings.py
+++ b/foxtailproxy/tests/steps/settings.py
@@ -36,6 +36,20 @@
     check_golden(name, context.result)
 
 
+@when("settings with {key} = {value} in section {section} are read")
+def step_read_one(context: Any, key: str, value: str, section: str) -> None:
+    given = "" if value == "-" else value
+    text = (
+        f"{(DATA / 'node-minimal.ini').read_text(encoding='utf-8')}\n[{section}]\n{key} = {given}\n"
+    )
+    context.one = getattr(getattr(parse_settings(text, "test"), section), key)
+
+
+@then("{key} is {result}")
+def step_one_is(context: Any, key: str, result: str) -> None:
+    assert str(context.one).removesuffix(".0") == result, context.one
+
+
 @when("the demonstration's configuration is built")
 def step_build(context: Any) -> None:
     context.printed = demo_configuration()
