Send calls, answers and refusals between nodes with fewer bytes

Of a call of about 340 bytes 240 were eleven text headers with long names and the attempt id twice; of a refusal of 375 bytes all but 60 were a JSON body and headers that say the same; answers carried the target's load twice.

Change: what a node says of a call is one header with a JSON array, decoded and checked as a typed record; the attempt id travels once, in it, and both ends write the platform's header anew; the target's own load and process id stay at its node; a refusal between nodes has no body.

Test: what travels, by the names of the headers, and that it says the same at the other end. The fake upstream of the speed tests echoes the attempt id, as targets do: since answers without one are not taken for a call's, five of its cases failed.

--- a/foxtailproxy/call.py
+++ b/foxtailproxy/call.py
@@ -56,7 +56,7 @@
     @property
     def send_id(self) -> str:
         """Names one send of the call; a call that was handed back is sent again under another."""
-        return f"{self.attempt_id}#{self.send_number}" if self.send_number else self.attempt_id
+        return send_id_of(self.attempt_id, self.send_number)
 
     @property
     def fingerprint(self) -> str:
@@ -101,6 +101,11 @@
         return self.stream
 
 
+def send_id_of(attempt_id: str, number: int) -> str:
+    """Names one send of an attempt; the first goes by the attempt's own id."""
+    return f"{attempt_id}#{number}" if number else attempt_id
+
+
 def new_id() -> str:
     """A unique identifier for an attempt, a claim or a process."""
     return os.urandom(ID_BYTES).hex()
--- a/foxtailproxy/dialect.py
+++ b/foxtailproxy/dialect.py
@@ -82,6 +82,9 @@
     def is_answer(self, head: messages.ResponseHead, attempt_id: str) -> bool:
         """Whether a response is the one to a call, or to a health check where the id is empty."""
 
+    def passed_headers(self, headers: messages.HeaderList) -> messages.HeaderList:
+        """The headers of an upstream's answer that travel to the caller's node."""
+
     def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
         """The headers that a caller gets with an upstream's answer."""
 
@@ -122,6 +125,10 @@
         """Upstreams do not say which call they answer."""
         return True
 
+    def passed_headers(self, headers: messages.HeaderList) -> messages.HeaderList:
+        """All that are for the caller."""
+        return wire.without_own(messages.end_to_end(headers))
+
     def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
         """The upstream's headers and the attempt id."""
         return [*messages.end_to_end(headers), (wire.ATTEMPT, attempt_id.encode())]
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -145,6 +145,66 @@
     config_change: Annotated[str, Meta(max_length=64)] = ""
 
 
+class CallHead(Struct, array_like=True):
+    """
+    What a node tells the node beside a target about one call.
+    """
+
+    attempt: Annotated[str, Meta(max_length=512, min_length=1)]
+    number: Annotated[int, Meta(description="Counts the sends of the call from 0.", ge=0)]
+    """
+    Counts the sends of the call from 0.
+    """
+    service: str
+    rule: Annotated[
+        str,
+        Meta(
+            description="What the target needs of the rule, as the sender's configuration has it."
+        ),
+    ]
+    """
+    What the target needs of the rule, as the sender's configuration has it.
+    """
+    left_ms: Annotated[int, Meta(description="Time left until the deadline, in milliseconds.")]
+    """
+    Time left until the deadline, in milliseconds.
+    """
+    objective_left_ms: Annotated[
+        int, Meta(description="Time left of the objective, in milliseconds.")
+    ]
+    """
+    Time left of the objective, in milliseconds.
+    """
+    depth: Annotated[int, Meta(ge=0)]
+    limit_ms: Annotated[
+        int,
+        Meta(
+            description="Longest expected time with which the target is to run the call, in milliseconds; -1 for any.",
+            ge=-1,
+        ),
+    ] = -1
+    """
+    Longest expected time with which the target is to run the call, in milliseconds; -1 for any.
+    """
+    hold_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time for which the target may hold the call, in milliseconds.",
+            ge=0,
+        ),
+    ] = 0
+    """
+    Longest time for which the target may hold the call, in milliseconds.
+    """
+    tenant: str = ""
+    crashed: Annotated[
+        list[str], Meta(description="Upstreams that died while they ran such a call.")
+    ] = field(default_factory=list)
+    """
+    Upstreams that died while they ran such a call.
+    """
+
+
 class Announcement(Struct):
     """
     What an upstream tells its node about itself.
--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -9,7 +9,7 @@
 import msgspec
 from expression import Error
 
-from foxtailproxy.call import Call
+from foxtailproxy.call import Call, send_id_of
 from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
@@ -18,19 +18,13 @@
 from foxtailproxy.peer_client import ATTEMPT_PATH, CLAIM_PATH, CONFIG_PATH
 from foxtailproxy.runs import RunTable, SharedRun
 from foxtailproxy.wire import (
-    ATTEMPT,
     BOOT,
-    CRASHED,
-    DEADLINE,
-    DEPTH,
+    CALL,
     LOAD,
-    OBJECTIVE,
-    SEND,
-    TENANT,
-    failure_response,
     match_call,
-    read_int,
-    read_terms,
+    peer_failure,
+    read_call,
+    terms_of,
     without_own,
 )
 
@@ -94,8 +88,8 @@
     async def handle(self, exchange: ServerExchange) -> None:
         """Serve one request of another node."""
         target = exchange.head.target
-        if messages.get_header(exchange.head.headers, ATTEMPT) is not None:
-            # A call, whatever its path; questions carry no attempt id.
+        if messages.get_header(exchange.head.headers, CALL) is not None:
+            # A call, whatever its path.
             await self._run(exchange)
         elif target.startswith(ATTEMPT_PATH):
             self._answer_question(exchange, unquote(target[len(ATTEMPT_PATH) :].decode("latin-1")))
@@ -104,22 +98,21 @@
         elif target == CONFIG_PATH:
             self._answer_config(exchange)
         else:
-            self._respond(exchange, "", Error(NotRun(NotRunReason.BAD_REQUEST)))
+            self._respond(exchange, Error(NotRun(NotRunReason.BAD_REQUEST)))
 
     async def _run(self, exchange: ServerExchange) -> None:
-        attempt_id = messages.get_text(exchange.head.headers, ATTEMPT)
-        match = match_call(exchange.head.headers, self._config.book)
-        if match is None:
-            self._respond(exchange, attempt_id, Error(NotRun(NotRunReason.BAD_REQUEST)))
+        head = read_call(exchange.head.headers)
+        match = None if head is None else match_call(head, self._config.book)
+        if head is None or match is None:
+            self._respond(exchange, Error(NotRun(NotRunReason.BAD_REQUEST)))
             return
-        send_number = read_int(exchange.head.headers, SEND, 0)
-        send_id = f"{attempt_id}#{send_number}" if send_number else attempt_id
+        send_id = send_id_of(head.attempt, head.number)
         known = self.attempts.find(send_id)
         if known is not None:
             self._attach(exchange, known)
             return
-        headers = exchange.head.headers
-        deadline_ms = self._clock.now_ms() + read_int(headers, DEADLINE, match.rule.deadline_ms)
+        received_ms = self._clock.now_ms()
+        deadline_ms = received_ms + head.left_ms
         run = self.attempts.open(send_id, deadline_ms)
         self._attach(exchange, run)
         if run.ended:
@@ -131,32 +124,29 @@
             run.fail(NotRun(NotRunReason.REQUEST_CUT))
             return
         payload = exchange.body.held() if whole else None
-        crashed = messages.get_text(headers, CRASHED)
         call = Call(
             head=messages.RequestHead(
-                exchange.head.method, exchange.head.target, without_own(headers)
+                exchange.head.method,
+                exchange.head.target,
+                without_own(exchange.head.headers),
             ),
             service=match.service,
             rule=match.rule,
-            tenant=messages.get_text(headers, TENANT),
+            tenant=head.tenant,
             deadline_ms=deadline_ms,
-            depth=read_int(headers, DEPTH, 0),
+            depth=head.depth,
             payload=payload,
             stream=exchange.body,
-            crashed_upstreams=crashed.split(",") if crashed else [],
-            attempt_id=attempt_id,
-            received_ms=self._received_ms(headers, match.rule.objective_ms),
-            terms=read_terms(headers),
-            send_number=send_number,
+            crashed_upstreams=head.crashed,
+            attempt_id=head.attempt,
+            # When the caller's node received the call, as a moment of this node's clock.
+            received_ms=received_ms + head.objective_left_ms - match.rule.objective_ms,
+            terms=terms_of(head),
+            send_number=head.number,
         )
         outcome = await self._target.run(call)
         await run.settle(outcome, self._limits.replay_bytes)
 
-    def _received_ms(self, headers: messages.HeaderList, objective_ms: int) -> float:
-        """When the caller's node received a call, as a moment of this node's clock."""
-        left_ms = read_int(headers, OBJECTIVE, objective_ms)
-        return self._clock.now_ms() + left_ms - objective_ms
-
     def _answer_question(self, exchange: ServerExchange, send_id: str) -> None:
         run = self.attempts.find(send_id)
         if run is not None:
@@ -165,10 +155,10 @@
         boot_id = messages.get_text(exchange.head.headers, BOOT)
         if boot_id and boot_id != self._boot_id:
             # The process that the call was sent to is gone, and what it ran with it.
-            self._respond(exchange, send_id, Error(Unknown(UnknownReason.PEER_LOST)))
+            self._respond(exchange, Error(Unknown(UnknownReason.PEER_LOST)))
             return
         self.attempts.seal(send_id)
-        self._respond(exchange, send_id, Error(NotRun(NotRunReason.NEVER_ARRIVED)))
+        self._respond(exchange, Error(NotRun(NotRunReason.NEVER_ARRIVED)))
 
     def _answer_claim(self, exchange: ServerExchange, claim_id: str) -> None:
         run = self._claims.find(claim_id)
@@ -176,12 +166,12 @@
             self._attach(exchange, run)
             return
         # A claim that is not remembered may have run long ago.
-        self._respond(exchange, claim_id, Error(Unknown(UnknownReason.ANSWER_NOT_KEPT)))
+        self._respond(exchange, Error(Unknown(UnknownReason.ANSWER_NOT_KEPT)))
 
     def _answer_config(self, exchange: ServerExchange) -> None:
         config = self._config.in_force
         if config is None:
-            self._respond(exchange, "", Error(NotRun(NotRunReason.NO_CONFIGURATION)))
+            self._respond(exchange, Error(NotRun(NotRunReason.NO_CONFIGURATION)))
             return
         body = BodyStream.of(zlib.compress(msgspec.json.encode(config)))
         exchange.respond(messages.ResponseHead(200, b"OK"), body)
@@ -191,15 +181,15 @@
         self._heartbeat_timer.wake()
         self._sweep_timer.wake()
         exchange.on_lost = lambda: self._exchange_lost(exchange)
-        run.wait(lambda outcome: self._respond(exchange, run.run_id, outcome))
+        run.wait(lambda outcome: self._respond(exchange, outcome))
 
-    def _respond(self, exchange: ServerExchange, run_id: str, outcome: Outcome) -> None:
+    def _respond(self, exchange: ServerExchange, outcome: Outcome) -> None:
         self._open.pop(exchange, None)
         load = (LOAD, self._target.load().to_header())
         if outcome.is_error():
-            head, body = failure_response(outcome.error, run_id)
+            head = peer_failure(outcome.error)
             head.headers.append(load)
-            exchange.respond(head, body)
+            exchange.respond(head, BodyStream.of(b""))
             return
         answer: Answer = outcome.ok
         headers = [*messages.end_to_end(answer.head.headers), load]
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -11,6 +11,7 @@
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from foxtailproxy.platform import headers as names
+from foxtailproxy.wire import without_own
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,6 +70,7 @@
     def upstream_headers(self, call: Call, remaining_ms: int, instance: str) -> messages.HeaderList:
         """The consumer's headers, the time left and the process that is to run the request."""
         headers = messages.end_to_end(call.head.headers)
+        headers.append((names.ATTEMPT_ID, call.attempt_id.encode("latin-1")))
         headers.append((names.TIMEOUT_MS, b"%d" % remaining_ms))
         if instance:
             headers.append((names.EXPECT_INSTANCE, instance.encode()))
@@ -95,14 +97,19 @@
         is_check = messages.get_header(head.headers, names.INSTANCE_ID) is not None
         return head.status >= LOWEST_REFUSAL and not is_check
 
-    def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
-        """The target's headers without those that only nodes use."""
+    def passed_headers(self, headers: messages.HeaderList) -> messages.HeaderList:
+        """The target's headers without those that only its node uses."""
         return [
             pair
-            for pair in messages.end_to_end(headers)
+            for pair in without_own(messages.end_to_end(headers))
             if pair[0] not in names.BETWEEN_NODE_AND_TARGET
         ]
 
+    def answer_headers(self, headers: messages.HeaderList, attempt_id: str) -> messages.HeaderList:
+        """The target's headers with the attempt id, which does not travel between nodes."""
+        attempt = (names.ATTEMPT_ID, attempt_id.encode("latin-1"))
+        return [*messages.end_to_end(headers), attempt]
+
     def failure(
         self, failure: NotRun | Unknown, attempt_id: str, remaining_ms: float
     ) -> tuple[messages.ResponseHead, BodyStream]:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -20,7 +20,7 @@
     ExchangeCancelled,
     HttpError,
 )
-from foxtailproxy.http.messages import RequestHead, ResponseHead, end_to_end
+from foxtailproxy.http.messages import RequestHead, ResponseHead
 from foxtailproxy.http.pool import ConnectionPool
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.models.settings import UpstreamSection
@@ -37,7 +37,6 @@
 )
 from foxtailproxy.terms import NO_TERMS
 from foxtailproxy.upstream_process import LeftProcesses, is_late, same_process
-from foxtailproxy.wire import without_own
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -385,7 +384,7 @@
             return Error(NotRun(NotRunReason.UPSTREAM_REFUSED))
         if response.head.status < SERVER_ERROR:
             self._listener.call_completed(running.call)
-        headers = without_own(end_to_end(response.head.headers))
+        headers = self._dialect.passed_headers(response.head.headers)
         return Ok(
             Answer(ResponseHead(response.head.status, response.head.reason, headers), response.body)
         )
--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -100,6 +100,18 @@
       | the caller's service is the own   | attempt-id=a1 caller-service=wages    | caller kalender       |
       | callers cannot expect an instance | attempt-id=a1 expect-instance=i-1     | expect none           |
 
+  Scenario Outline: What travels between nodes with <what>
+    When <what> travels between nodes of the platform
+    Then it has just the headers <names>
+    And it says the same at the other node
+
+    # Each of the other headers can be written anew by the node that gets it.
+    Examples:
+      | what      | names                                           |
+      | a call    | host x-foxtailproxy-caller-service foxtail-call |
+      | an answer | x-foxtailproxy-response-signature               |
+      | a refusal | foxtail-outcome foxtail-retry-after-ms          |
+
   Scenario Outline: An upstream's answer <status> with <sent>
     When an upstream answers <status> with <sent>
     Then the answer is taken as <result>
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -6,16 +6,27 @@
 from typing import Any
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from foxtailproxy.config.rules import RuleBook
-from foxtailproxy.dialect import MalformedCall
+from foxtailproxy.dialect import CallerRequest, MalformedCall
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.http.messages import HeaderList, ResponseHead, get_text
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.platform.dialect import PlatformDialect
 from foxtailproxy.platform.instances import MalformedBeat, decode_beat
+from foxtailproxy.terms import Terms
+from foxtailproxy.tests.fakes import fake_clock, make_call
 from foxtailproxy.tests.platform_configs import config_text
+from foxtailproxy.wire import (
+    call_headers,
+    match_call,
+    parse_failure,
+    peer_failure,
+    read_call,
+    terms_of,
+)
 
 BEAT: dict[str, Any] = {
     "service": "kalender",
@@ -168,6 +179,64 @@
     assert isinstance(context.request, MalformedCall)
 
 
+def _call_between_nodes(dialect: PlatformDialect) -> tuple[HeaderList, bool]:
+    sent = [(b"host", b"days.example"), *read_headers("attempt-id=a1 timeout-ms=900")]
+    request = dialect.read_caller(sent)
+    assert isinstance(request, CallerRequest)
+    clock = fake_clock()
+    call = make_call(clock, 500, rule={"objective_ms": 300, "priority": 3})
+    call.head.headers[:] = request.headers
+    call.attempt_id, call.send_number, call.terms = "a1", 2, Terms(120.0, 60.0)
+    call.crashed_upstreams = ["n1.i-1"]
+    headers = call_headers(call, clock)
+    head = read_call(headers)
+    assert head is not None
+    match = match_call(head, None)
+    same = match is not None and match.rule == replace(
+        call.rule, deadline_ms=match.rule.deadline_ms
+    )
+    same = same and terms_of(head) == call.terms and head.crashed == call.crashed_upstreams
+    same = same and (head.attempt, head.number, head.left_ms) == ("a1", 2, 500)
+    upstream = dialect.upstream_headers(call, 500, "i-1")
+    return headers, same and get_text(upstream, b"x-foxtailproxy-attempt-id") == "a1"
+
+
+def _answer_between_nodes(dialect: PlatformDialect) -> tuple[HeaderList, bool]:
+    text = "attempt-id=a1 response-signature=r1 backend-load=3,1,12,100 instance-id=i-1"
+    passed = dialect.passed_headers([*read_headers(text), (b"connection", b"close")])
+    told = dialect.answer_headers(passed, "a1")
+    return passed, sorted(told) == sorted(read_headers("attempt-id=a1 response-signature=r1"))
+
+
+def _refusal_between_nodes(dialect: PlatformDialect) -> tuple[HeaderList, bool]:
+    refusal = NotRun(NotRunReason.OVERLOADED, 70)
+    headers = peer_failure(refusal).headers
+    return headers, parse_failure(headers) == refusal
+
+
+BETWEEN_NODES = {
+    "a call": _call_between_nodes,
+    "an answer": _answer_between_nodes,
+    "a refusal": _refusal_between_nodes,
+}
+
+
+@when("{what} travels between nodes of the platform")
+def step_travels(context: Any, what: str) -> None:
+    context.travelled, context.same = BETWEEN_NODES[what](PlatformDialect(lambda: "kalender"))
+
+
+@then("it has just the headers {names}")
+def step_just_headers(context: Any, names: str) -> None:
+    seen = [name.decode() for name, _ in context.travelled]
+    assert seen == names.split(), seen
+
+
+@then("it says the same at the other node")
+def step_same(context: Any) -> None:
+    assert context.same
+
+
 @when("an upstream answers {status:d} with {sent}")
 def step_answer(context: Any, status: int, sent: str) -> None:
     head = ResponseHead(status, b"", read_headers(sent))
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import re
 import time
 from typing import Any
 
@@ -243,7 +244,9 @@
             self.factory.checks += 1
             slowness = slowness if self.factory.checks == 1 else self.factory.later
         load = b"x-foxtailproxy-backend-load: 1,0,12,%d\r\n" % (slowness * 100)
-        self.transport.write(b"HTTP/1.1 200 OK\r\n" + load + b"content-length: 2\r\n\r\nok")
+        attempt = re.search(rb"x-foxtailproxy-attempt-id: .*\r\n", data)
+        echo = attempt[0] if attempt else b""
+        self.transport.write(b"HTTP/1.1 200 OK\r\n" + load + echo + b"content-length: 2\r\n\r\nok")
 
 
 class SpeedTarget:
--- a/foxtailproxy/wire.py
+++ b/foxtailproxy/wire.py
@@ -2,36 +2,37 @@
 
 from __future__ import annotations
 
+import math
 from functools import lru_cache, singledispatch
 from typing import TYPE_CHECKING
 
 import msgspec
+import structlog
 
 from foxtailproxy.config.rules import Match
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
+from foxtailproxy.models.messages import CallHead
 from foxtailproxy.models.rules import ClassRule, ServiceRule
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
-from foxtailproxy.terms import NO_TERMS, Terms
+from foxtailproxy.terms import Terms
 
 if TYPE_CHECKING:
     from foxtailproxy.call import Call
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import RuleBook
 
+log = structlog.get_logger()
+
 PREFIX = b"foxtail-"
 
 ATTEMPT = b"foxtail-attempt"
-SEND = b"foxtail-send"
+CALL = b"foxtail-call"
+"""A `CallHead` as a JSON array: links between regions are paid for by the byte."""
+
 BOOT = b"foxtail-boot"
-SERVICE = b"foxtail-service"
-RULE = b"foxtail-rule"
-TENANT = b"foxtail-tenant"
 DEADLINE = b"foxtail-deadline-ms"
 DEPTH = b"foxtail-depth"
-CRASHED = b"foxtail-crashed"
-TERMS = b"foxtail-terms"
-OBJECTIVE = b"foxtail-objective-left-ms"
 OUTCOME = b"foxtail-outcome"
 LOAD = b"foxtail-load"
 RETRY_AFTER = b"foxtail-retry-after-ms"
@@ -53,6 +54,10 @@
 
 MS_PER_SECOND = 1000
 
+NO_LIMIT = -1
+RULE_NUMBERS = 7
+"""Numbers in the text of a rule, behind its name."""
+
 
 class FailureBody(msgspec.Struct):
     """The JSON body of an answer that the node itself makes."""
@@ -64,23 +69,37 @@
 
 def call_headers(call: Call, clock: Clock) -> messages.HeaderList:
     """The headers that carry a call to the node beside its target."""
-    headers = messages.end_to_end(call.head.headers)
-    headers.append((ATTEMPT, call.attempt_id.encode()))
-    if call.send_number:
-        headers.append((SEND, b"%d" % call.send_number))
-    headers.append((SERVICE, call.service.name.encode()))
-    headers.append((RULE, rule_header(call.rule)))
-    if call.tenant:
-        headers.append((TENANT, call.tenant.encode("latin-1", "replace")))
-    headers.append((DEADLINE, b"%d" % call.remaining_ms(clock)))
-    headers.append((DEPTH, b"%d" % call.depth))
-    if call.rule.objective_ms:
-        headers.append((OBJECTIVE, b"%d" % call.objective_left_ms(clock)))
-    if call.terms != NO_TERMS:
-        headers.append((TERMS, b"%.0f;%.0f" % (call.terms.limit_ms, call.terms.hold_ms)))
-    if call.crashed_upstreams:
-        headers.append((CRASHED, ",".join(call.crashed_upstreams).encode()))
-    return headers
+    terms = call.terms
+    head = CallHead(
+        attempt=call.attempt_id,
+        number=call.send_number,
+        service=call.service.name,
+        rule=_rule_text(call.rule),
+        left_ms=int(call.remaining_ms(clock)),
+        objective_left_ms=int(call.objective_left_ms(clock)),
+        depth=call.depth,
+        limit_ms=round(terms.limit_ms) if terms.hands_back else NO_LIMIT,
+        hold_ms=round(terms.hold_ms),
+        tenant=call.tenant,
+        crashed=call.crashed_upstreams,
+    )
+    return [*messages.end_to_end(call.head.headers), (CALL, msgspec.json.encode(head))]
+
+
+def read_call(headers: messages.HeaderList) -> CallHead | None:
+    """What another node tells of a call; `None` where it is missing or malformed."""
+    value = messages.get_header(headers, CALL)
+    try:
+        return None if value is None else msgspec.json.decode(value, type=CallHead)
+    except msgspec.MsgspecError as error:
+        log.warning("call_head_malformed", error=str(error))
+        return None
+
+
+def terms_of(head: CallHead) -> Terms:
+    """The terms on which the target is to run a call from another node."""
+    limit_ms = math.inf if head.limit_ms == NO_LIMIT else float(head.limit_ms)
+    return Terms(limit_ms, float(head.hold_ms))
 
 
 def without_own(headers: messages.HeaderList) -> messages.HeaderList:
@@ -88,33 +107,33 @@
     return [pair for pair in headers if not pair[0].startswith(PREFIX)]
 
 
-def rule_header(rule: ClassRule) -> bytes:
+def _rule_text(rule: ClassRule) -> str:
     """What a target needs of the rule of a call, as the sender's configuration has it.
 
     It travels with the call, so that two nodes with different configurations treat it alike.
     """
-    return b"%s;%d;%d;%d;%d;%d;%d;%d" % (
-        rule.name.encode(),
-        rule.idempotent,
+    numbers = (
+        int(rule.idempotent),
         rule.weight,
         rule.priority,
         rule.hold_ms,
         rule.queue,
-        rule.long,
+        int(rule.long),
         rule.objective_ms,
     )
+    return ";".join((rule.name, *map(str, numbers)))
 
 
 @lru_cache(maxsize=4096)
-def _parse_rule(service: str, value: str) -> ClassRule | None:
-    fields = value.split(";")
+def _parse_rule(service: str, text: str) -> ClassRule | None:
+    name, *numbers = text.rsplit(";", RULE_NUMBERS)
     try:
-        idempotent, weight, priority, hold_ms, queue, long, objective_ms = map(int, fields[1:])
+        idempotent, weight, priority, hold_ms, queue, long, objective_ms = map(int, numbers)
     except ValueError:
         return None
     return ClassRule(
         service,
-        fields[0],
+        name,
         idempotent=bool(idempotent),
         weight=weight,
         priority=priority,
@@ -125,23 +144,13 @@
     )
 
 
-def read_terms(headers: messages.HeaderList) -> Terms:
-    """The terms of a call from another node."""
-    limit_ms, _, hold_ms = messages.get_text(headers, TERMS).partition(";")
-    try:
-        return Terms(float(limit_ms), float(hold_ms)) if limit_ms else NO_TERMS
-    except ValueError:
-        return NO_TERMS
-
-
-def match_call(headers: messages.HeaderList, book: RuleBook | None) -> Match | None:
-    """The rules that a call from another node brings; `None` where it brings none."""
-    name = messages.get_text(headers, SERVICE)
-    rule = _parse_rule(name, messages.get_text(headers, RULE))
+def match_call(head: CallHead, book: RuleBook | None) -> Match | None:
+    """The rules that a call from another node brings; `None` where they cannot be read."""
+    rule = _parse_rule(head.service, head.rule)
     if rule is None:
         return None
-    service = None if book is None else book.service_by_name.get(name)
-    return Match(service or ServiceRule(name), rule)
+    service = None if book is None else book.service_by_name.get(head.service)
+    return Match(service or ServiceRule(head.service), rule)
 
 
 def read_int(headers: messages.HeaderList, name: bytes, default: int) -> int:
@@ -191,7 +200,7 @@
 def failure_response(
     failure: NotRun | Unknown, attempt_id: str
 ) -> tuple[messages.ResponseHead, BodyStream]:
-    """The response that tells a peer or a caller of a failure."""
+    """The response that tells a caller of a failure."""
     status = failure_status(failure)
     headers = [
         (b"content-type", b"application/json"),
@@ -208,6 +217,16 @@
     return head, BodyStream.of(body)
 
 
+def peer_failure(failure: NotRun | Unknown) -> messages.ResponseHead:
+    """The head of the response that tells another node of a failure; it has no body."""
+    status = failure_status(failure)
+    headers = [
+        (OUTCOME, outcome_header(failure)),
+        (RETRY_AFTER, b"%d" % failure.retry_after_ms),
+    ]
+    return messages.ResponseHead(status, messages.reason_of(status), headers)
+
+
 def parse_failure(headers: messages.HeaderList) -> NotRun | Unknown | None:
     """The failure that a response from a node tells of; `None` for an upstream's answer."""
     value = messages.get_text(headers, OUTCOME)
--- a/tools/generate_models.sh
+++ b/tools/generate_models.sh
@@ -13,8 +13,8 @@
   # Each optional field has a default, so no field can be unset.
   sed -i -e '/^ *| UnsetType$/d' -e 's/ | UnsetType\b//' "$out/$name.py"
   sed -i -e '1,2d' -e 's/UNSET, UnsetType, //; s/, UNSET, UnsetType$//; s/, UnsetType, /, /' "$out/$name.py"
-  # Records that travel in datagrams are written without their field names.
-  for record in GossipPacket MemberRecord CrashReport; do
+  # Records that travel in datagrams or with each call are written without their field names.
+  for record in GossipPacket MemberRecord CrashReport CallHead; do
     sed -i -e "s/^class $record(Struct):/class $record(Struct, array_like=True):/" "$out/$name.py"
   done
   sed -i -e "1i \"\"\"Models generated from \`schema/$name.schema.json\`.\"\"\"" "$out/$name.py"
