Join with fewer and cheaper calls to the store

In an outage each try made three more.

Change: the configuration is read where the answer may be late (a tenth of the price): the watchers begin with the newest one and tell the others. A node that meets its earlier process's record leaves it as it is unless it leads to another address, and lists the others likewise. A store that cannot be reached is asked once a try. Records are refreshed every ten minutes, not every minute: what changes goes between nodes.

--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -146,8 +146,11 @@
         return True
 
     async def read_platform(self) -> bool:
-        """Read the configuration from the platform; returns whether the platform answered."""
-        stored = await self._store.read(self._source.path)
+        """Read the configuration from the platform; returns whether the platform answered.
+
+        It may be seconds old: the watchers begin with the newest one and tell the others.
+        """
+        stored = await self._store.read(self._source.path, stale=True)
         if stored.is_error():
             return isinstance(stored.error, Missing)
         self._offer_stored(stored.ok.value)
--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -45,6 +45,9 @@
 
 MS_PER_SECOND = 1000
 
+STALE = {"serializable": 1}
+"""Query of a read that may be answered from a copy; it costs a tenth."""
+
 
 class ObjectMeta(msgspec.Struct):
     """What the store keeps about an object."""
@@ -137,11 +140,12 @@
         """Close idle connections."""
         await self._pool.closeCachedConnections()
 
-    async def read(self, path: str) -> Result[StoredObject, StoreFailure]:
+    async def read(self, path: str, stale: bool = False) -> Result[StoredObject, StoreFailure]:
         """One object."""
         self.counters.reads += 1
         kind, name = _split(path)
-        answer = await self._send("GET", _object_path(kind, name), None)
+        query = f"?{urlencode(STALE)}" if stale else ""
+        answer = await self._send("GET", _object_path(kind, name) + query, None)
         return answer.bind(lambda body: _decode_object(kind, body))
 
     async def list_objects(
@@ -149,7 +153,7 @@
     ) -> Result[ObjectListing, StoreFailure]:
         """All objects of a kind, page by page."""
         objects: list[StoredObject] = []
-        query: dict[str, str | int] = {"serializable": 1} if stale else {}
+        query: dict[str, str | int] = {**STALE} if stale else {}
         while True:
             self.counters.reads += 1
             answer = await self._send("GET", _kind_path(kind, query), None)
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.models.messages import MemberRecord
-from foxtailproxy.store import Conflict
+from foxtailproxy.store import Conflict, Refused
 
 if TYPE_CHECKING:
     import random
@@ -23,8 +23,9 @@
 
 MEMBER_KIND = "members"
 
-REFRESH_MS = 60_000
-"""Time between two writes of the node's own record."""
+REFRESH_MS = 600_000
+"""Time between two writes of the node's own record, in case that it got lost; what changes goes
+between nodes."""
 
 REFRESH_JITTER = 0.2
 
@@ -67,22 +68,35 @@
         """Write the own record and take in all others; returns whether the store answered."""
         if self._written:
             await self.write()
-            return await self._read_others()
+            return not self._failures and await self._read_others()
         self._written = True
         created = await self._store.create(self._path, self._value())
-        if created.is_error() and isinstance(created.error, Conflict):
-            # The others find the earlier process's record until it is replaced.
-            self._take_earlier(created.error)
+        if created.is_ok():
+            # Written first, so that of two nodes that start at once one sees the other.
+            return await self._read_others()
+        if isinstance(created.error, Conflict):
+            return await self._follow_earlier(created.error)
+        self._failures = 1
+        # A store that turns writes away may still answer reads.
+        return isinstance(created.error, Refused) and await self._read_others()
+
+    async def _follow_earlier(self, conflict: Conflict) -> bool:
+        """An earlier process of this node left its record, which is as good for the others.
+
+        They have been there for longer than a listing may be late. The record is replaced only
+        where it leads to another place.
+        """
+        earlier = None if conflict.current is None else self._take(conflict.current.value)
+        replacing = None
+        if earlier is None or _place_of(earlier) != _place_of(self._table.me):
             replacing = ensureDeferred(self.write())
-            listed = await self._read_others()
+        listed = await self._read_others(stale=True)
+        if replacing is not None:
             await replacing
-            return listed
-        # Written first, so that of two nodes that start at once one sees the other.
-        self._failures = 0 if created.is_ok() else 1
-        return await self._read_others()
+        return listed
 
-    async def _read_others(self) -> bool:
-        listing = await self._store.list_objects(MEMBER_KIND)
+    async def _read_others(self, stale: bool = False) -> bool:
+        listing = await self._store.list_objects(MEMBER_KIND, stale)
         if listing.is_error():
             return False
         for stored in listing.ok.objects:
@@ -100,7 +114,7 @@
             await self.write()
 
     async def keep(self) -> None:
-        """Write the own record every minute or so while the node serves."""
+        """Write the own record now and then while the node serves."""
         while self._serving():
             await self._clock.sleep(self._pause_ms())
             if self._serving():
@@ -124,12 +138,16 @@
     def _value(self) -> str:
         return msgspec.json.encode(self._table.me).decode()
 
-    def _take_earlier(self, conflict: Conflict) -> None:
-        if conflict.current is not None:
-            self._take(conflict.current.value)
-
-    def _take(self, value: str) -> None:
+    def _take(self, value: str) -> MemberRecord | None:
         try:
-            self._table.merge(msgspec.json.decode(value, type=MemberRecord))
+            record = msgspec.json.decode(value, type=MemberRecord)
         except msgspec.MsgspecError as error:
             log.warning("member_malformed", error=str(error))
+            return None
+        self._table.merge(record)
+        return record
+
+
+def _place_of(record: MemberRecord) -> tuple[str, int, int]:
+    """Where the others find a node."""
+    return record.address, record.peer_port, record.gossip_port
--- a/foxtailproxy/store.py
+++ b/foxtailproxy/store.py
@@ -92,8 +92,8 @@
     async def close(self) -> None:
         """Close idle connections."""
 
-    async def read(self, path: str) -> Result[StoredObject, StoreFailure]:
-        """One object."""
+    async def read(self, path: str, stale: bool = False) -> Result[StoredObject, StoreFailure]:
+        """One object; where `stale`, it may be seconds old, for a lower price."""
 
     async def list_objects(
         self, kind: str, stale: bool = False
