Hear of the configuration from neighbours at the start; give up on dead peers sooner

Two things showed in the log: (1) each of the 28 nodes read the configuration of 1,904 routes (380 KB) from the store at its start, over a link of 30 Mbit/s for half of them; three nodes had it only 4 to 5 s after they listened. (2) The listing names instances without power; each connection to one was waited for for a second, and five failures were needed to leave it out: 99 sends in the second window.

Change: the watchers of a data centre read the store, the others wait 300 ms for a neighbour to tell them (compressed) before they read it. A node lists the others while it registers. Connections to other nodes are given up after 250 ms, and two that do not open take the target out of the choice.

--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -39,6 +39,11 @@
 CHECK_INTERVAL_MS = 500
 """Time between two looks whether this node is to watch."""
 
+TOLD_WITHIN_MS = 300
+"""Time in which a node that starts hears of the configuration from its neighbours, in ms. A
+configuration of many routes is a megabyte: were all nodes of a region to read it from the store at
+once, it would hold up the link between regions for seconds."""
+
 SHORTEST_WATCH_MS = 50
 
 FIRST_RETRY_MS = 300
@@ -51,6 +56,11 @@
     return (0, "") if config is None else (config.generation, config.change_id)
 
 
+def watch_rank(node_id: str) -> bytes:
+    """Nodes with the lowest ranks of their data centre watch the platform."""
+    return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
+
+
 class ConfigSource(Protocol):
     """Where the configuration lies in the store, and how it is written there."""
 
@@ -109,8 +119,12 @@
         self._closed = False
 
     def start(self) -> None:
-        """Begin to watch, where this node is one of the watchers of its data centre."""
+        """Begin to watch, where this node is one of the watchers of its data centre.
+
+        The others hear from them, and read the platform only where nobody tells them.
+        """
         ensureDeferred(self._watch_forever())  # type: ignore[arg-type]
+        ensureDeferred(self._read_if_untold())  # type: ignore[arg-type]
 
     def close(self) -> None:
         """Stop watching."""
@@ -145,6 +159,15 @@
         self._on_adopted(book)
         return True
 
+    async def _read_if_untold(self) -> None:
+        await self._clock.sleep(TOLD_WITHIN_MS)
+        failures = 0
+        while self.book is None and not self._closed and not await self.read_platform():
+            failures += 1
+            await self._clock.sleep(
+                back_off_ms(failures, FIRST_RETRY_MS, LONGEST_RETRY_MS, self._rng)
+            )
+
     async def read_platform(self) -> bool:
         """Read the configuration from the platform; returns whether the platform answered.
 
@@ -177,7 +200,7 @@
             for record in self._table.by_id.values()
             if record.data_center == me.data_center and record.state is MemberState.alive
         ]
-        names.sort(key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest())
+        names.sort(key=watch_rank)
         return me.node_id in names[:WATCHERS_PER_DATA_CENTER]
 
     async def _watch_forever(self) -> None:
--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -15,6 +15,7 @@
 
 from foxtailproxy import events
 from foxtailproxy.clock import cancel_timer
+from foxtailproxy.ejection import UNREACHABLE_WEIGHT
 from foxtailproxy.http.body import DiscardSink
 from foxtailproxy.http.errors import HttpError
 from foxtailproxy.outcome import (
@@ -322,7 +323,8 @@
             outcome = await self._peers.run(call, choice.view.member)
             choice.view.ended()
         if is_fault(outcome):
-            self._router.failed(call.service.name, health)
+            weight = UNREACHABLE_WEIGHT if unreachable(outcome) else 1
+            self._router.failed(call.service.name, health, weight)
         elif outcome.is_ok():
             health.success()
             self._router.answered(call.class_key, outcome.ok.body.size)
@@ -361,6 +363,11 @@
     return outcome.is_error() and outcome.error.reason is NotRunReason.FASTER_ELSEWHERE
 
 
+def unreachable(outcome: Outcome) -> bool:
+    """Whether no connection to the target's node opened."""
+    return outcome.is_error() and outcome.error.reason is NotRunReason.UNREACHABLE
+
+
 def turned_away(outcome: Outcome) -> bool:
     """Whether the target's node had no room for the call."""
     return outcome.is_error() and outcome.error.reason in OVERLOAD_REASONS
--- a/foxtailproxy/ejection.py
+++ b/foxtailproxy/ejection.py
@@ -13,6 +13,10 @@
 FAILURE_LIMIT = 5
 """Failures in a row after which a target is ejected."""
 
+UNREACHABLE_WEIGHT = 3
+"""Failures that a connection which does not open counts for: two in a row are enough, one may be a
+lost packet."""
+
 FIRST_EJECTION_MS = 1_000
 LONGEST_EJECTION_MS = 30_000
 
@@ -73,8 +77,8 @@
     def success(self) -> None:
         """A call was answered."""
 
-    def failure(self) -> None:
-        """A call failed at the target."""
+    def failure(self, weight: int) -> None:
+        """A call failed at the target, which counts as `weight` failures."""
 
     def limit_reached(self) -> None:
         """Too many failures in a row."""
@@ -96,8 +100,8 @@
 
 
 @_healthy.upon(HealthInputs.failure).loop()
-def _healthy_failure(inputs: HealthInputs, core: HealthCore) -> None:
-    core.failures += 1
+def _healthy_failure(inputs: HealthInputs, core: HealthCore, weight: int) -> None:
+    core.failures += weight
 
 
 @_healthy.upon(HealthInputs.limit_reached).to(_ejected)
@@ -117,7 +121,7 @@
 
 
 @_trial.upon(HealthInputs.failure).to(_ejected)
-def _trial_failure(inputs: HealthInputs, core: HealthCore) -> None:
+def _trial_failure(inputs: HealthInputs, core: HealthCore, weight: int) -> None:
     core.eject()
 
 
@@ -157,8 +161,8 @@
         """A call was answered."""
         self._machine.success()
 
-    def failure(self, may_eject: bool) -> None:
-        """A call failed at the target; `may_eject` tells whether too few are left otherwise."""
-        self._machine.failure()
+    def failure(self, may_eject: bool, weight: int = 1) -> None:
+        """A call failed at the target; `may_eject` tells whether enough are left without it."""
+        self._machine.failure(weight)
         if may_eject and self._core.failures >= FAILURE_LIMIT:
             self._machine.limit_reached()
--- a/foxtailproxy/http/pool.py
+++ b/foxtailproxy/http/pool.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from typing import Any
 
-CONNECT_TIMEOUT_S = 1
-"""Seconds to wait for a connection to open."""
+CONNECT_TIMEOUT_MS = 1000
+"""Longest wait for a connection to open, in milliseconds, where the pool is given none."""
 
 IDLE_CONNECTIONS = 64
 """Idle connections kept for one server."""
@@ -29,11 +29,18 @@
 class ConnectionPool:
     """Opens connections to `address`:`port` and keeps idle ones for the next exchange."""
 
-    def __init__(self, reactor: Any, address: str, port: int) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        port: int,
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+    ) -> None:
         self.address = address
         self.port = port
         self.open_count = 0
         self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_ms / 1000
         self._idle: list[ClientConnection] = []
         self._all: set[ClientConnection] = set()
         self._closed = False
@@ -71,7 +78,9 @@
             connection.abort()
 
     async def _open(self) -> ClientConnection:
-        endpoint = TCP4ClientEndpoint(self._reactor, self.address, self.port, CONNECT_TIMEOUT_S)
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, self.address, self.port, self._connect_timeout_s
+        )
         try:
             connection = await connectProtocol(endpoint, ClientConnection())
         except Exception as error:
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -276,16 +276,13 @@
         failures = 0
         while self.core.name == "serving":
             self._compare_with_seeds()
-            # Requests can be served once the configuration is there, before all others are known.
-            reading: Deferred[bool] = ensureDeferred(self.config.read_platform())  # type: ignore[arg-type]
-            joined = await self.registration.join()
-            if await reading and joined:
+            if await self.registration.join():
                 break
             failures += 1
             log.warning("platform_unreachable", failures=failures)
             await self.clock.sleep(self.registration.retry_ms(failures))
-        self.config.start()
         self._spread_me()
+        self.config.start()
         for _ in range(CATCH_UP_ROUNDS):
             self.gossip.comparison.catch_up()
             await self.clock.sleep(CATCH_UP_PAUSE_MS)
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -38,6 +38,10 @@
 CONFIG_LIMIT_BYTES = 2_097_152
 """Largest configuration taken from another node, compressed."""
 
+CONNECT_TIMEOUT_MS = 250
+"""Longest wait for a connection to another node; an instance without power refuses none, and the
+call can still be in time elsewhere. Six round trips between regions."""
+
 OK_STATUS = 200
 
 RECOVERY_TRIES = 3
@@ -232,6 +236,6 @@
         key = (address, port)
         pool = self._pool_by_address.get(key)
         if pool is None:
-            pool = ConnectionPool(self._reactor, address, port)
+            pool = ConnectionPool(self._reactor, address, port, CONNECT_TIMEOUT_MS)
             self._pool_by_address[key] = pool
         return pool
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -9,12 +9,14 @@
 from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.models.messages import MemberRecord
-from foxtailproxy.store import Conflict, Refused
+from foxtailproxy.store import Conflict
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
     from foxtailproxy.clock import Clock
     from foxtailproxy.membership import MemberTable
     from foxtailproxy.store import Store
@@ -70,30 +72,27 @@
             await self.write()
             return not self._failures and await self._read_others()
         self._written = True
+        # The records of those that have been there for long are taken in meanwhile.
+        listing: Deferred[bool] = ensureDeferred(self._read_others(stale=True))  # type: ignore[arg-type]
         created = await self._store.create(self._path, self._value())
+        listed = await listing
         if created.is_ok():
-            # Written first, so that of two nodes that start at once one sees the other.
+            # Listed after the write, so that of two nodes that start at once one sees the other.
             return await self._read_others()
         if isinstance(created.error, Conflict):
-            return await self._follow_earlier(created.error)
+            await self._follow_earlier(created.error)
+            return listed
         self._failures = 1
-        # A store that turns writes away may still answer reads.
-        return isinstance(created.error, Refused) and await self._read_others()
+        return listed
 
-    async def _follow_earlier(self, conflict: Conflict) -> bool:
+    async def _follow_earlier(self, conflict: Conflict) -> None:
         """An earlier process of this node left its record, which is as good for the others.
 
-        They have been there for longer than a listing may be late. The record is replaced only
-        where it leads to another place.
+        It is replaced only where it leads to another place.
         """
         earlier = None if conflict.current is None else self._take(conflict.current.value)
-        replacing = None
         if earlier is None or _place_of(earlier) != _place_of(self._table.me):
-            replacing = ensureDeferred(self.write())
-        listed = await self._read_others(stale=True)
-        if replacing is not None:
-            await replacing
-        return listed
+            await self.write()
 
     async def _read_others(self, stale: bool = False) -> bool:
         listing = await self._store.list_objects(MEMBER_KIND, stale)
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -373,12 +373,12 @@
         """The health of the target that was chosen."""
         return choice.view.health if isinstance(choice, PeerChoice) else self.local_health
 
-    def failed(self, service: str, health: TargetHealth) -> None:
-        """A call failed at a target of `service`."""
+    def failed(self, service: str, health: TargetHealth, weight: int = 1) -> None:
+        """A call failed at a target of `service`, which counts as `weight` failures."""
         healths = [self.by_id[node_id].health for node_id in self._ids_by_service.get(service, ())]
         healths.append(self.local_health)
         ejected = sum(1 for other in healths if other.ejected)
-        health.failure((ejected + 1) <= MAX_EJECTED_SHARE * max(2, len(healths)))
+        health.failure((ejected + 1) <= MAX_EJECTED_SHARE * max(2, len(healths)), weight)
 
     def _peers(self, service: str, tried: set[str], may_try: bool) -> list[TargetView]:
         """The targets to choose from; where `may_try`, an ejected one may get a trial call."""
--- a/foxtailproxy/tests/routing.feature
+++ b/foxtailproxy/tests/routing.feature
@@ -33,6 +33,19 @@
     And 20 calls are placed 0 ms later
     Then they go to n1
 
+  Scenario Outline: <count> connections to the node beside a target do not open
+    Given a node whose own target has load -
+    And its peers report 0/0/5, 9/9/50 and -
+    When <count> connections to n1 do not open
+    And 20 calls are placed 0 ms later
+    Then they go to <names>
+
+    # One may be a lost packet.
+    Examples:
+      | count | names |
+      | 1     | n1    |
+      | 2     | n2    |
+
   Scenario: No more than half of the targets are ejected
     Given a node whose own target has load -
     And its peers report 0/0/5, 0/0/5 and 0/0/5
--- a/foxtailproxy/tests/steps/routing.py
+++ b/foxtailproxy/tests/steps/routing.py
@@ -16,7 +16,7 @@
 
 from foxtailproxy.clock import Clock
 from foxtailproxy.dispatch import retriable
-from foxtailproxy.ejection import FailureShare
+from foxtailproxy.ejection import UNREACHABLE_WEIGHT, FailureShare
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
@@ -120,6 +120,13 @@
         context.router.failed("kalender", context.router.by_id[name].health)
 
 
+@when("{count:d} connections to {name} do not open")
+def step_unreachable(context: Any, count: int, name: str) -> None:
+    for _ in range(count):
+        health = context.router.by_id[name].health
+        context.router.failed("kalender", health, UNREACHABLE_WEIGHT)
+
+
 @when("the trial call succeeds at {name}")
 def step_trial_succeeds(context: Any, name: str) -> None:
     context.router.by_id[name].health.success()
