Add a fault soak of the real programs

Nodes, targets, the store's stand-in and relays between them run as separate processes on one machine. A seed decides which faults come when: links that are delayed, reset, cut one way, silent or refusing; nodes killed, paused, terminated and signalled; targets killed, paused, leaving; a store that is out, silent, busy, slow or loses answers; newer configurations. Faults overlap. Callers keep using open connections. Checked at the end, from what callers were told and what targets ran: at most once, true refusals, whole own answers, nothing unasked, no work after leaving, no cut without a fault of the node, answers in time, service again within 15 s, no process that ends by itself.

A node may tell others of another port than the one that it listens at (`advertised_peer_port`), where something lies between. The fleet of platform stand-ins moves from the tests to standins/.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup demo test check bench binary capacity docs clean
+.PHONY: setup demo test check bench soak binary capacity docs clean
 
 setup: $(VENV)/.installed
 
@@ -26,6 +26,9 @@
 bench: setup
 	$(BIN)/python -m bench
 
+soak: setup
+	$(BIN)/python -m soak --seeds 50
+
 capacity: setup
 	$(BIN)/python -m bench.capacity
 
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -79,6 +79,17 @@
     """
     TCP port for callers, on `address`; 0 where caller_address is given.
     """
+    advertised_peer_port: Annotated[
+        int,
+        Meta(
+            description="Port at which other nodes reach the peer port, where something between them gives it another number; 0 for the same.",
+            ge=0,
+            le=65535,
+        ),
+    ] = 0
+    """
+    Port at which other nodes reach the peer port, where something between them gives it another number; 0 for the same.
+    """
     log_calls: Annotated[bool, Meta(description="Write one log line for each call.")] = True
     """
     Write one log line for each call.
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -195,7 +195,7 @@
             region=node.region,
             data_center=node.data_center,
             address=node.address,
-            peer_port=node.peer_port,
+            peer_port=node.advertised_peer_port or node.peer_port,
             gossip_port=node.gossip_port,
             admin_port=node.admin_port,
             boot_id=new_id()[:BOOT_ID_LENGTH],
--- a/foxtailproxy/tests/steps/live_platform.py
+++ b/foxtailproxy/tests/steps/live_platform.py
@@ -11,8 +11,8 @@
 
 from behave import given, then, when
 
-from foxtailproxy.tests.platform_fleet import HOST_BY_SERVICE, PREFIX, Place, PlatformFleet
 from standins.fleet import ADDRESS, http_json
+from standins.platform_fleet import HOST_BY_SERVICE, PREFIX, Place, PlatformFleet
 
 LOAD_S = 3.0
 RESTART_LOAD_S = 1.0
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -19,7 +19,6 @@
 from foxtailproxy.platform.instances import MalformedBeat, decode_beat
 from foxtailproxy.terms import Terms
 from foxtailproxy.tests.fakes import fake_clock, make_call
-from foxtailproxy.tests.platform_configs import action, config_text, rule
 from foxtailproxy.wire import (
     call_headers,
     match_call,
@@ -28,6 +27,7 @@
     read_call,
     terms_of,
 )
+from standins.platform_configs import action, config_text, rule
 
 BEAT: dict[str, Any] = {
     "service": "kalender",
--- a/foxtailproxy/tests/steps/registration.py
+++ b/foxtailproxy/tests/steps/registration.py
@@ -17,7 +17,7 @@
 from foxtailproxy.registration import MEMBER_KIND, Registration
 from foxtailproxy.store import Conflict, Refused
 from foxtailproxy.tests.fakes import FakePlatform, advance, fake_clock, make_member
-from foxtailproxy.tests.platform_configs import config_text
+from standins.platform_configs import config_text
 
 OWN_PATH = f"{MEMBER_KIND}/me"
 STALE_PRICE = 0.1
--- a/foxtailproxy/tests/steps/store.py
+++ b/foxtailproxy/tests/steps/store.py
@@ -21,8 +21,8 @@
 from foxtailproxy.platform.store_client import StoreClient
 from foxtailproxy.store import Conflict
 from foxtailproxy.tests.fakes import make_member
-from foxtailproxy.tests.platform_configs import config_text
 from standins.platform import Faults, Metadata, PlatformStandIn, Stored
+from standins.platform_configs import config_text
 
 TIMEOUT_MS = 400
 WATCH_MS = 600
--- a/foxtailproxy/tests/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -12,17 +12,29 @@
 from pathlib import Path
 from typing import Any
 
-from foxtailproxy.tests.platform_configs import action, config_text, rule
 from standins.fleet import ADDRESS, Fleet, free_ports, http_json
+from standins.platform_configs import action, config_text, rule
 
 PREFIX = "X-Foxtailproxy-"
-TEMPLATE = Path(__file__).parents[2] / "deploy" / "node.ini.template"
+TEMPLATE = Path(__file__).parents[1] / "deploy" / "node.ini.template"
 SERVICES = ("kalender", "broneering")
 HOST_BY_SERVICE = {"kalender": "days.example", "broneering": "book.example"}
 STOP_GRACE_S = 6
 PAUSE_S = 0.01
 
 
+@dataclass
+class Relayed:
+    """A relay before a port, for faults of the network."""
+
+    port: int
+    control: int
+
+    def fault(self, command: str) -> None:
+        """Tell the relay what goes wrong, or to heal."""
+        http_json("POST", f"http://{ADDRESS}:{self.control}/{command}")
+
+
 @dataclass
 class Place:
     """One machine of the platform: a node and its target."""
@@ -36,7 +48,10 @@
     peer: int
     admin: int
     target: int
+    region: str = "pohja"
     instance: str = ""
+    peer_relay: Relayed | None = None
+    target_relay: Relayed | None = None
 
     @property
     def standin(self) -> str:
@@ -61,12 +76,27 @@
     places: list[Place] = field(default_factory=list)
     lost: list[str] = field(default_factory=list)
 
-    def start(self) -> None:
-        """Start the store, nodes and targets."""
+    store_relay: Relayed | None = None
+    generation: int = 0
+
+    def start(
+        self, count: int = 4, regions: tuple[str, ...] = ("pohja",), relayed: bool = False
+    ) -> None:
+        """Start the store, nodes and targets, with relays between them where `relayed`."""
         self.fleet.start_platform()
-        for number, service in enumerate(SERVICES * 2):
+        for number in range(count):
+            service = SERVICES[number % len(SERVICES)]
+            data_center = number // 2
+            region = regions[data_center % len(regions)]
             ports = free_ports(6)
-            self.places.append(Place(f"m{number}", service, f"dc-{number // 2}", *ports))
+            place = Place(f"m{number}", service, f"dc-{data_center}", *ports, region=region)
+            self.places.append(place)
+        if relayed:
+            self.add_relays()
+        self.start_processes()
+
+    def start_processes(self) -> None:
+        """Start nodes and targets, and wait until they know each other."""
         for place in self.places:
             self.start_node(place)
         for place in self.places:
@@ -74,11 +104,23 @@
         for place in self.places:
             self.fleet.wait_until(lambda p=place: self.knows_all(p), f"{place.name} knows all")
 
-    def start_node(self, place: Place) -> None:
+    def add_relays(self) -> None:
+        """Put relays before the store, and before each node and target."""
+        self.store_relay = self._relay("store", self.fleet.platform_port)
+        for place in self.places:
+            place.peer_relay = self._relay(f"{place.name}-peer", place.peer)
+            place.target_relay = self._relay(f"{place.name}-target", place.target)
+
+    def _relay(self, name: str, port: int) -> Relayed:
+        return Relayed(*self.fleet.start_relay(f"{name}-relay", port))
+
+    def start_node(self, place: Place, wait: bool = True) -> None:
         """Start a node with the settings that the template gives."""
+        target = place.target_relay.port if place.target_relay else place.target
+        store = self.store_relay.port if self.store_relay else self.fleet.platform_port
         values = {
             "node": place.name,
-            "region": "pohja",
+            "region": place.region,
             "zone": place.data_center,
             "ip": ADDRESS,
             "listen_addrs.outbound": f"{ADDRESS}:{place.caller}",
@@ -86,8 +128,8 @@
             "listen_addrs.control": f"{ADDRESS}:{place.control}",
             "port_range.0": place.peer,
             "service": place.service,
-            "app_addr": f"{ADDRESS}:{place.target}",
-            "platform.address": f"{ADDRESS}:{self.fleet.platform_port}",
+            "app_addr": f"{ADDRESS}:{target}",
+            "platform.address": f"{ADDRESS}:{store}",
             "bounds.retry_budget_ratio": 0.2,
             "bounds.budget_slack": 56,
             "bounds.budget_window_s": 10,
@@ -98,11 +140,15 @@
             text = text.replace("{{" + key + "}}", str(value))
         # All nodes share one address here, so the fixed port of the template would be taken.
         text = text.replace("admin_port = 9464", f"admin_port = {place.admin}")
+        if place.peer_relay:
+            port = place.peer_relay.port
+            text = text.replace("[upstream]", f"advertised_peer_port = {port}\n\n[upstream]")
         assert "{{" not in text, text
         settings = self.fleet.folder / f"{place.name}.ini"
         settings.write_text(text)
         self.fleet._spawn(place.name, "foxtailproxy", "node", str(settings))
-        self.fleet._wait_for(f"http://{ADDRESS}:{place.admin}/status")
+        if wait:
+            self.fleet._wait_for(f"http://{ADDRESS}:{place.admin}/status")
 
     def start_target(self, place: Place) -> None:
         """Start a target beside its node."""
@@ -112,6 +158,7 @@
             "standins.platform_target",
             *("--port", str(place.target), "--service", place.service),
             *("--control", f"{ADDRESS}:{place.control}", "--instance", place.instance),
+            *("--announced-port", str(place.target_relay.port if place.target_relay else 0)),
         )
 
     def knows_all(self, place: Place) -> bool:
@@ -119,16 +166,20 @@
         status = http_json("GET", f"http://{ADDRESS}:{place.admin}/status")
         return len([m for m in status["members"] if m["service"]]) == len(self.places)
 
-    def write_config(self) -> None:
+    def write_config(self, generation: int = 7, timeout_ms: int = 1200) -> None:
         """Write a configuration as the operator does."""
         listeners = [
             {"host": HOST_BY_SERVICE[name], "rule_set": [rule(name, "/", action(name))]}
             for name in SERVICES
         ]
+        for listener in listeners:
+            listener["rule_set"][0]["action"]["timeout_ms"] = timeout_ms  # type: ignore[index]
         listeners[1]["rule_set"][0]["route_type"] = "non_idempotent"  # type: ignore[index]
-        text = config_text(7, listeners=listeners)
+        text = config_text(generation, listeners=listeners)
         body = {"metadata": {"name": "main"}, "spec": json.loads(text)}
-        http_json("POST", f"{self.fleet.platform}/objects/config/main", body)
+        method = "POST" if self.generation == 0 else "PUT"
+        self.generation = generation
+        http_json(method, f"{self.fleet.platform}/objects/config/main", body)
 
     def close(self) -> None:
         """End all processes."""
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -6,6 +6,8 @@
 Every request is answered after the `run_ms` of its query, or 5 ms, with the attempt id, a receipt
 and the load. `/_standin/` controls the stand-in: `ledger` (requests that ran), `drain` (say so in
 the heartbeats), `leave` (send a notice of leave and no more heartbeats).
+
+Each run is a line on standard output before it begins, so that a target that is killed loses none.
 """
 
 from __future__ import annotations
@@ -36,6 +38,7 @@
     caller: str
     timeout_ms: str
     at_s: float
+    instance: str = ""
     cut: bool = False
 
 
@@ -91,6 +94,9 @@
             return
         if response.code == 200 and self.state != "ready" and not self.acknowledged_s:
             self.acknowledged_s = time.time()
+            line = {"instance": self.instance, "acknowledged_s": self.acknowledged_s}
+            sys.stdout.buffer.write(msgspec.json.encode(line) + b"\n")
+            sys.stdout.flush()
 
     @app.route("/healthz", methods=["GET"])
     def health(self, request: Any) -> bytes:
@@ -129,8 +135,11 @@
             request.getHeader(f"{PREFIX}caller-service") or "",
             request.getHeader(f"{PREFIX}timeout-ms") or "",
             time.time(),
+            self.instance,
         )
         self.ledger.append(ran)
+        sys.stdout.buffer.write(msgspec.json.encode(ran) + b"\n")
+        sys.stdout.flush()
         self.running += 1
         done: Deferred[bytes] = Deferred()
         loop: Any = reactor
@@ -164,10 +173,22 @@
 @click.option("--control", required=True, help="Address for heartbeats, as IP:PORT.")
 @click.option("--instance", required=True)
 @click.option("--slots", type=int, default=12)
-def main(address: str, port: int, service: str, control: str, instance: str, slots: int) -> None:
+@click.option(
+    "--announced-port", type=int, default=0, help="Port told in heartbeats; 0 for --port."
+)
+def main(
+    address: str,
+    port: int,
+    service: str,
+    control: str,
+    instance: str,
+    slots: int,
+    announced_port: int,
+) -> None:
     """Run the stand-in until it is stopped."""
     loop: Any = reactor
-    target = PlatformTarget(service, f"{address}:{port}", control, instance, slots)
+    told = f"{address}:{announced_port or port}"
+    target = PlatformTarget(service, told, control, instance, slots)
     site = Site(target.app.resource())
     site.noisy = False
     loop.listenTCP(port, site, interface=address)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,7 +6,10 @@
 |---|---|
 | `POST /silence` | all connections open now go silent for good; new ones work |
 | `POST /refuse` | new connections are cut at once as well |
-| `POST /heal` | new connections work again |
+| `POST /reset` | all connections open now are reset |
+| `POST /delay?ms=50` | bytes that come from now on are passed on so much later |
+| `POST /cut?way=to` | bytes to the other end (`to`), or from it (`from`), are lost from now on |
+| `POST /heal` | new connections work again, without delay; those that lost bytes are reset |
 | `GET /counters` | connections and bytes so far |
 """
 
@@ -34,6 +37,7 @@
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
         self.silent = False
+        self.accepted = False
         self.other: Side | None = None
         self.early: list[bytes] = []
 
@@ -44,12 +48,21 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Pass bytes on, unless the connection is silent."""
+        if self.relay.cut_way == ("to" if self.accepted else "from"):
+            self.silent = True
         if self.silent:
             return
         self.relay.bytes += len(data)
+        if self.relay.delay_ms:
+            loop: Any = reactor
+            loop.callLater(self.relay.delay_ms / 1000, self._pass, data)
+        else:
+            self._pass(data)
+
+    def _pass(self, data: bytes) -> None:
         if self.other is None:
             self.early.append(data)
-        else:
+        elif self.other.transport is not None and self.other.connected:
             write_now(self.other.transport, data)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
@@ -69,12 +82,15 @@
         self.connections = 0
         self.bytes = 0
         self.refusing = False
+        self.delay_ms = 0.0
+        self.cut_way = ""
         self._endpoint = TCP4ClientEndpoint(reactor, address, port)
 
     def buildProtocol(self, addr: Any) -> Side:  # noqa: N802
         """Accept a connection and open the one it is relayed to."""
         self.connections += 1
         near = Side(self)
+        near.accepted = True
         if self.refusing:
             loop: Any = reactor
             loop.callLater(0, lambda: near.transport.abortConnection())
@@ -113,10 +129,34 @@
         self.relay.refusing = True
         return self.silence(request)
 
+    @app.route("/reset", methods=["POST"])
+    def reset(self, request: Any) -> bytes:
+        """Reset all connections open now."""
+        for side in list(self.relay.sides):
+            side.transport.abortConnection()
+        return b"{}"
+
+    @app.route("/delay", methods=["POST"])
+    def delay(self, request: Any) -> bytes:
+        """Pass bytes on later."""
+        self.relay.delay_ms = float(request.args[b"ms"][0])
+        return b"{}"
+
+    @app.route("/cut", methods=["POST"])
+    def cut(self, request: Any) -> bytes:
+        """Lose the bytes of one direction."""
+        self.relay.cut_way = request.args[b"way"][0].decode()
+        return b"{}"
+
     @app.route("/heal", methods=["POST"])
     def heal(self, request: Any) -> bytes:
         """Let new connections work."""
         self.relay.refusing = False
+        self.relay.delay_ms = 0.0
+        self.relay.cut_way = ""
+        for side in list(self.relay.sides):
+            if side.silent:
+                side.transport.abortConnection()
         return b"{}"
 
     @app.route("/counters", methods=["GET"])
