--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,10 +46,12 @@
         chaos = Chaos(fleet, time.time)
         callers = Callers(fleet.places, seed)
         callers.start()
-        time.sleep(CALM_S)
-        _play(make_plan(seed, duration_s, places), chaos)
-        broken = _recover(fleet)
-        callers.close()
+        try:
+            time.sleep(CALM_S)
+            _play(make_plan(seed, duration_s, places), chaos)
+            broken = _recover(fleet)
+        finally:
+            callers.close()
         broken += _own_ends(fleet)
     finally:
         fleet.close()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,9 +8,16 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+import structlog
+
 from standins.fleet import http_json
 from standins.platform_fleet import Place, PlatformFleet, Relayed
 
+log = structlog.get_logger()
+
+COMMAND_TIMEOUT_S = 0.3
+"""Longest wait for a target that is told to leave."""
+
 SHORTEST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 1.2
 """Time between two faults; most last longer, so that they overlap."""
@@ -213,8 +220,13 @@
         chaos.ending.add(name)
         chaos.fleet.fleet.kill(name)
     else:
+        try:
+            http_json("POST", f"{place.standin}/{fault.how}", timeout_s=COMMAND_TIMEOUT_S)
+        except OSError as error:
+            # It has just been started, or stands still.
+            log.info("target_not_told", target=name, how=fault.how, error=repr(error))
+            return
         chaos.ending.add(name)
-        http_json("POST", f"{place.standin}/{fault.how}")
 
 
 @end.register
