--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -11,11 +11,11 @@
 from expression import Result
 from twisted.internet.defer import ensureDeferred
 
+from foxtailproxy.back_off import back_off_ms
 from foxtailproxy.config.ini import Problem
 from foxtailproxy.config.rules import RuleBook, parse_rules
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.messages import ConfigObject, MemberState
-from foxtailproxy.registration import back_off_ms
 from foxtailproxy.store import Changes, HistoryGone, Missing
 
 if TYPE_CHECKING:
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -10,8 +10,8 @@
 import structlog
 from msgspec.structs import replace
 from twisted.internet.defer import DeferredList, ensureDeferred, maybeDeferred
-from twisted.internet.protocol import Factory
 
+from foxtailproxy.admin_port import AdminFactory
 from foxtailproxy.call import new_id
 from foxtailproxy.claims import Claims
 from foxtailproxy.clock import Clock
@@ -68,25 +68,6 @@
 """Crash reports sent along with a comparison."""
 
 
-class AdminFactory(Factory):
-    """Loads the admin site with its first connection: its libraries take a third of a start."""
-
-    noisy = False
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-        self._site: Any = None
-
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
-        """A connection of an operator, or of an upstream that announces itself."""
-        if self._site is None:
-            from foxtailproxy.admin import AdminSite
-
-            self._site = AdminSite(self._node).site()
-            self._site.doStart()
-        return self._site.buildProtocol(addr)
-
-
 class Node:
     """The daemon beside one upstream."""
 
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -8,6 +8,7 @@
 import structlog
 from twisted.internet.defer import ensureDeferred
 
+from foxtailproxy.back_off import back_off_ms
 from foxtailproxy.models.messages import MemberRecord
 from foxtailproxy.store import Conflict
 
@@ -37,11 +38,6 @@
 call is priced, and meanwhile the node learns from its peers."""
 
 
-def back_off_ms(failures: int, first_ms: float, longest_ms: float, rng: random.Random) -> float:
-    """The pause after so many failures in a row: doubled each time, with jitter of a half."""
-    return min(longest_ms, first_ms * 2.0 ** (failures - 1)) * (0.5 + rng.random())
-
-
 class Registration:
     """Writes the node's own record and reads those of the others; `serving` tells when to go on."""
 
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -7,12 +7,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from foxtailproxy.admission import TYPICAL_HALF_LIFE_MS, USUAL_SHARE
-from foxtailproxy.ejection import FAILURE_HALF_LIFE_MS, MAX_EJECTED_SHARE, TargetHealth
+from foxtailproxy.admission import USUAL_SHARE
+from foxtailproxy.ejection import MAX_EJECTED_SHARE, TargetHealth
 from foxtailproxy.load import Load
 from foxtailproxy.models.messages import MemberState
 from foxtailproxy.models.settings import LinksSection
-from foxtailproxy.speed import SPEED_MEMORY_MS, Slowness
+from foxtailproxy.speed import SPEED_MEMORY_MS
+from foxtailproxy.target_view import TargetView
 from foxtailproxy.terms import NO_TERMS, Terms
 
 if TYPE_CHECKING:
@@ -24,12 +25,6 @@
     from foxtailproxy.models.messages import MemberRecord
     from foxtailproxy.target import Target
 
-LOAD_HALF_LIFE_MS = 200.0
-"""Time in which a load report loses half of its weight, in milliseconds."""
-
-DRAG_HALF_LIFE_MS = 2000.0
-"""Time in which a target's drag loses half of its weight, in milliseconds."""
-
 LOCAL_DATA_CENTER_MS = 1.0
 NEAR_DATA_CENTER_MS = 3.0
 OTHER_REGION_MS = 40.0
@@ -62,80 +57,6 @@
 """Part of the objective, in usual run times, that is left for the run when a call is held."""
 
 
-class TargetView:
-    """What this node knows of one peer's target."""
-
-    def __init__(self, clock: Clock, member: MemberRecord) -> None:
-        self.member = member
-        self.health = TargetHealth(clock)
-        self.outstanding = 0
-        self.slowness = Slowness(clock)
-        self._clock = clock
-        self._load: Load | None = None
-        self._reported_ms = 0.0
-        self._sent_since = 0.0
-
-    def observe(self, load: Load) -> None:
-        """A load report came with an answer."""
-        self._load = load
-        self._reported_ms = self._clock.now_ms()
-        self._sent_since = 0.0
-        if load.slowness:
-            self.slowness.observe(load.slowness, load.slowness_age_ms)
-
-    def sent(self) -> None:
-        """A call was sent to the target."""
-        self.outstanding += 1
-        self._sent_since += 1
-
-    def ended(self) -> None:
-        """A call sent to the target has ended."""
-        self.outstanding -= 1
-
-    def wait_ms(self, class_name: str) -> float:
-        """Expected wait of a class in ms, from an aged report and the calls sent since."""
-        if self._load is None:
-            slots = max(1, self.member.slots)
-            return max(0, self.outstanding + 1 - slots) / slots
-        return self._load.wait_ms(class_name, self._sent_since) * self._faded(LOAD_HALF_LIFE_MS)
-
-    def time_ms(self, class_name: str) -> float:
-        """Expected wait and run time at the target in ms."""
-        if self._load is None:
-            return self.wait_ms(class_name)
-        return self.wait_ms(class_name) + self._run_ms(self._load, class_name)
-
-    def _run_ms(self, load: Load, class_name: str) -> float:
-        usual_ms = load.run_by_class.get(class_name)
-        if usual_ms is None:
-            return load.typical_ms * self._faded(TYPICAL_HALF_LIFE_MS)
-        drag = 1 + (load.drag - 1) * self._faded(DRAG_HALF_LIFE_MS)
-        return usual_ms * drag * self.slowness.expected()
-
-    def failing(self) -> float:
-        """Share of the target's calls that fail, from 0 to 1."""
-        if self._load is None:
-            return 0.0
-        return self._load.failing * self._faded(FAILURE_HALF_LIFE_MS)
-
-    def usual_ms(self, class_name: str) -> float:
-        """Usual run time of a class in ms, at the usual speed; 0 where it is not known."""
-        return 0.0 if self._load is None else self._load.run_by_class.get(class_name, 0.0)
-
-    def occupancy(self) -> float:
-        """Expected calls for each slot, from an aged report and the calls sent since."""
-        if self._load is None:
-            return self.outstanding / max(1, self.member.slots)
-        floor = self.outstanding / max(1, self.member.slots)
-        reported = self._load.occupancy(self._sent_since)
-        return max(floor, reported * self._faded(LOAD_HALF_LIFE_MS))
-
-    def _faded(self, half_life_ms: float) -> float:
-        """What is left of the last report's weight, from 1 to 0."""
-        age_ms = self._clock.now_ms() - self._reported_ms
-        return 0.5 ** (age_ms / half_life_ms)
-
-
 @dataclass(frozen=True, slots=True)
 class Basis:
     """What a choice was made from: the expected time, and the age of the report on the speed.
@@ -181,9 +102,9 @@
     return hashlib.blake2b(f"{key} {node_id}".encode(), digest_size=8).digest()
 
 
-def load_risk_ms(load: Load, match: Match) -> float:
-    """What it costs that a target fails some of its calls, as a time in ms."""
-    return load.failing * match.rule.objective_ms
+def risk_ms(failing: float, match: Match) -> float:
+    """What it costs that a target fails a share of its calls, as a time in ms."""
+    return failing * match.rule.objective_ms
 
 
 class Router:
@@ -311,7 +232,7 @@
             if view.usual_ms(name)
         ]
         if local:
-            times.append(self._local_ms(match) + load_risk_ms(self._target.load(), match))
+            times.append(self._local_ms(match) + risk_ms(self._target.load().failing, match))
         if times and chosen_id not in declined:
             overhead_ms = 0.0 if best is None else self._distance_ms(best)
             return Terms(limit_ms=max(usual_ms, min(times) - overhead_ms))
@@ -329,14 +250,14 @@
 
     def _cost_ms(self, view: TargetView, match: Match, size: int) -> float:
         """What a call's bytes and risk cost, as the time that another target may take more."""
-        risk_ms = view.failing() * match.rule.objective_ms
+        risk = risk_ms(view.failing(), match)
         if view.member.data_center == self._data_center:
-            return risk_ms
+            return risk
         far = view.member.region != self._region
         per_mb = self.links.region_cost_per_mb if far else self.links.data_center_cost_per_mb
         answer_bytes = self._answer_bytes.get(f"{match.service.name}/{match.rule.name}", 0.0)
         cost = per_mb * (size + answer_bytes + CALL_HEAD_BYTES) / BYTES_PER_MB
-        return risk_ms + cost * match.rule.objective_ms
+        return risk + cost * match.rule.objective_ms
 
     def _distance_ms(self, view: TargetView) -> float:
         if view.member.region != self._region:
@@ -412,7 +333,7 @@
         ):
             return best.health.ejected
         distance_ms = self._distance_ms(best) + self._cost_ms(best, match, size)
-        distance_ms -= load_risk_ms(self._target.load(), match)
+        distance_ms -= risk_ms(self._target.load().failing, match)
         return best.time_ms(match.rule.name) + distance_ms + self._local_lead_ms(match) >= 0
 
     def _local_lead_ms(self, match: Match) -> float:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from expression import Error, Ok
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 
 from foxtailproxy import events
 from foxtailproxy.admission import Admission, Ticket
 from foxtailproxy.clock import WorkTimer
+from foxtailproxy.crash_watch import CrashWatch, TargetListener
 from foxtailproxy.dialect import Dialect, UpstreamLoad, UpstreamNote
 from foxtailproxy.health_check import HealthCheck
 from foxtailproxy.http.errors import (
@@ -52,29 +53,10 @@
 SWEEP_MS = 20
 """Time between two looks at deadlines, in milliseconds."""
 
-CRASH_CHECK_MS = 50
-"""Time between the loss of a connection and the check whether the upstream died."""
-
-PROBE_MS = 500
-"""Time between two tries to reach an upstream that is down, in milliseconds."""
-
 HOLD_CHECK_MS = 30
 """Time between two looks whether a slow instance works at its usual speed again."""
 
 
-class TargetListener(Protocol):
-    """Is told of changes of the target."""
-
-    def target_changed(self) -> None:
-        """The target appeared, went down, or leaves."""
-
-    def target_crashed(self, calls: list[Call]) -> None:
-        """The upstream died while it ran `calls`."""
-
-    def call_completed(self, call: Call) -> None:
-        """The upstream answered `call` without an error of its own."""
-
-
 @dataclass(eq=False, slots=True)
 class RunningCall:
     """A call that waits at the target or runs."""
@@ -104,7 +86,6 @@
         self._log_calls = log_calls
         self.configure(settings)
         self._left = LeftProcesses()
-        self.down = False
         self.admission = Admission(clock, 0)
         self.health = HealthCheck(clock, dialect, self.admission.slowness)
         self._clock = clock
@@ -112,10 +93,13 @@
         self._listener = listener
         self._pool: ConnectionPool | None = None
         self._by_send: dict[str, RunningCall] = {}
-        self._crashed: list[Call] = []
         self._sweep_timer = WorkTimer(clock, SWEEP_MS, self._sweep)
-        self._probe_timer = WorkTimer(clock, PROBE_MS, self._probe_if_down)
-        self._probing = False
+        self._crashes = CrashWatch(
+            clock,
+            listener,
+            lambda: self._pool,
+            lambda: self.admission.refuse_all(NotRunReason.TARGET_DOWN),
+        )
 
     def configure(self, settings: UpstreamSection) -> None:
         """Take over settings; slots change with the next announcement that has others."""
@@ -126,7 +110,7 @@
     def close(self) -> None:
         """Stop the timers and close idle connections."""
         self._sweep_timer.close()
-        self._probe_timer.close()
+        self._crashes.close()
         if self._pool is not None:
             self._pool.close()
 
@@ -186,7 +170,7 @@
         self._pool = ConnectionPool(self._reactor, announcement.address, announcement.port)
         self.announcement = announcement
         self.leaving = self._left.hold(announcement) if announcement.instance else False
-        self.down = False
+        self._crashes.down = False
         self._set_slots(announcement.slots)
         self._listener.target_changed()
 
@@ -208,6 +192,11 @@
         self.admission.refuse_all(NotRunReason.LEAVING)
         self._listener.target_changed()
 
+    @property
+    def down(self) -> bool:
+        """Whether the upstream takes no connections."""
+        return self._crashes.down
+
     @property
     def process_gone(self) -> bool:
         """Whether the upstream's process itself said that it takes no new work."""
@@ -333,7 +322,7 @@
             connection = await pool.acquire(fresh, idle_ms)
         except ConnectFailed:
             self._end(running)
-            self._mark_down()
+            self._crashes.mark_down()
             return Error(NotRun(NotRunReason.TARGET_DOWN))
         if running.cancelled or call.remaining_ms(self._clock) < 1:
             self._end(running)
@@ -416,54 +405,9 @@
             return Unknown(UnknownReason.DEADLINE)
         if isinstance(error, ExchangeCancelled):
             return Unknown(UnknownReason.CANCELLED)
-        self._crashed.append(running.call)
-        # A dying process may still accept connections for a moment.
-        await self._clock.sleep(CRASH_CHECK_MS)
-        crashed = not await self._reachable()
-        if crashed:
-            self._mark_down()
-        elif running.call in self._crashed:
-            self._crashed.remove(running.call)
+        crashed = await self._crashes.lost(running.call)
         return Unknown(UnknownReason.UPSTREAM_LOST, crashed)
 
-    async def _reachable(self) -> bool:
-        if self._pool is None:
-            return False
-        try:
-            connection = await self._pool.acquire(fresh=True)
-        except ConnectFailed:
-            return False
-        connection.abort()
-        return True
-
-    def _mark_down(self) -> None:
-        crashed, self._crashed = self._crashed, []
-        if crashed:
-            self._listener.target_crashed(crashed)
-        if self.down:
-            return
-        log.warning("upstream_down")
-        self.down = True
-        self._probe_timer.wake()
-        if self._pool is not None:
-            self._pool.drop_idle()
-        self.admission.refuse_all(NotRunReason.TARGET_DOWN)
-        self._listener.target_changed()
-
-    def _probe_if_down(self) -> bool:
-        if self.down and not self._probing:
-            ensureDeferred(self._probe())
-        return self.down
-
-    async def _probe(self) -> None:
-        self._probing = True
-        reachable = await self._reachable()
-        self._probing = False
-        if reachable and self.down:
-            log.info("upstream_up")
-            self.down = False
-            self._listener.target_changed()
-
     def _sweep(self) -> bool:
         self.admission.sweep()
         now = self._clock.now_ms()
