List the others again where the first write of a record brought no answer

Cause (by reading): a node lists the others while it registers, so the listing may be older than the first writes of nodes that start at the same moment. A write whose answer was lost then counted as joined, and nobody listed again.

Change: only a store that turns the write away counts as joined by its listing alone; otherwise the next try writes and lists.

--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -10,7 +10,7 @@
 
 from foxtailproxy.back_off import back_off_ms
 from foxtailproxy.models.messages import MemberRecord
-from foxtailproxy.store import Conflict
+from foxtailproxy.store import Conflict, Refused
 
 if TYPE_CHECKING:
     import random
@@ -79,7 +79,8 @@
             await self._follow_earlier(created.error)
             return listed
         self._failures = 1
-        return listed
+        # After a write without an answer the listing may be older than the others' first writes.
+        return listed and isinstance(created.error, Refused)
 
     async def _follow_earlier(self, conflict: Conflict) -> None:
         """An earlier process of this node left its record, which is as good for the others.
--- a/foxtailproxy/tests/steps/registration.py
+++ b/foxtailproxy/tests/steps/registration.py
@@ -15,7 +15,7 @@
 from foxtailproxy.models.messages import MemberRecord
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.registration import MEMBER_KIND, Registration
-from foxtailproxy.store import Conflict, Refused
+from foxtailproxy.store import Conflict, Refused, Unreachable
 from foxtailproxy.tests.fakes import FakePlatform, advance, fake_clock, make_member
 from standins.platform_configs import config_text
 
@@ -29,6 +29,7 @@
 
     calls = 0.0
     refusing_writes = False
+    losing_answers = False
 
     async def read(self, path: str, stale: bool = False) -> Any:
         """One object."""
@@ -48,7 +49,8 @@
         known = self.by_name.get(path)
         if known is not None:
             return Error(Conflict(known))
-        return await super().create(path, value)
+        created = await super().create(path, value)
+        return Error(Unreachable("answer lost")) if self.losing_answers else created
 
     async def put(self, path: str, value: str) -> Any:
         """Write an object whatever its version."""
@@ -78,9 +80,13 @@
         _write(store, "me", address=EARLIER_ADDRESS, **fields)
     store.faults.outage = fault == "is out"
     store.refusing_writes = fault == "turns writes away"
+    store.losing_answers = fault == "loses an answer, others join late"
+    if store.losing_answers:
+        store.by_name.clear()
+        context.clock.call_later(ms / 2, _write, store, "other")
 
     def mend() -> None:
-        store.faults.outage = store.refusing_writes = False
+        store.faults.outage = store.refusing_writes = store.losing_answers = False
 
     context.clock.call_later(ms, mend)
 
--- a/foxtailproxy/tests/store.feature
+++ b/foxtailproxy/tests/store.feature
@@ -97,5 +97,6 @@
       | answers                           | 0    | 2.11  |
       | is out                            | 2000 | 8     |
       | turns writes away                 | 2000 | 12    |
+      | loses an answer, others join late | 200  | 5.21  |
       | holds an older record             | 0    | 1.11  |
       | holds a record of another address | 0    | 2.11  |
