--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,10 @@
 COMMAND_TIMEOUT_S = 0.3
 """Longest wait for a target that is told to leave."""
 
+INTERPRETER_START_S = 0.25
+"""Time that an interpreter may need until it runs the program's first line, when busy. Until then
+SIGHUP ends any process; the platform starts it again."""
+
 SHORTEST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 1.2
 """Time between two faults; most last longer, so that they overlap."""
@@ -141,6 +145,7 @@
         self.now_s = now_s
         self.faulty: list[tuple[str, float, float]] = []
         self.ending: set[str] = set()
+        self.started_s: dict[str, float] = {}
 
     def place(self, number: int) -> Place:
         """A place by its number."""
@@ -150,6 +155,10 @@
         """Whether a process of the fleet runs and is not about to end."""
         return name not in self.ending and self.fleet.fleet.by_name[name].poll() is None
 
+    def starts(self, name: str) -> bool:
+        """Whether a node was started so shortly before that no program can have set a handler."""
+        return self.now_s() - self.started_s.get(name, 0.0) < INTERPRETER_START_S
+
     def relay(self, fault: LinkFault) -> Relayed:
         """The relay that a fault is about."""
         place = self.place(fault.place)
@@ -187,7 +196,7 @@
 @begin.register
 def _(fault: NodeFault, chaos: Chaos) -> None:
     name = chaos.place(fault.place).name
-    if not chaos.alive(name):
+    if not chaos.alive(name) or (fault.number is signal.SIGHUP and chaos.starts(name)):
         return
     if fault.number in (signal.SIGKILL, signal.SIGTERM):
         chaos.ending.add(name)
@@ -204,6 +213,7 @@
         process.send_signal(signal.SIGCONT)
     elif place.name in chaos.ending:
         process.wait()
+        chaos.started_s[place.name] = chaos.now_s()
         chaos.fleet.start_node(place, wait=False)
         chaos.ending.discard(place.name)
 
