--- a/soak/plan.py
+++ b/soak/plan.py
@@ -265,4 +265,9 @@
 
 @begin.register
 def _(fault: ConfigChange, chaos: Chaos) -> None:
-    chaos.fleet.write_config(chaos.fleet.generation + 1, fault.timeout_ms)
+    generation = chaos.fleet.generation + 1
+    try:
+        chaos.fleet.write_config(generation, fault.timeout_ms)
+    except OSError as error:
+        # The store misbehaves at the same time; an operator would try again later.
+        log.info("config_not_written", generation=generation, error=repr(error))
