Keep the ports of fleets that run beside one another apart

The port was free when it was chosen; the tests, running at the same time, had chosen it as well and bound it first.

Change: each process that starts fleets chooses from a part of the ports that it holds by a bound socket.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,6 +13,7 @@
 import urllib.error
 import urllib.request
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -24,14 +25,35 @@
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
 
+SLICES = 10
+"""Parts of these ports; each process that starts fleets keeps to one of its own, so that two that
+run beside one another never choose the same port."""
+
 _given: set[int] = set()
 
 
+@cache
+def _own_slice() -> tuple[range, socket.socket | None]:
+    """The ports of this process, and the bound socket that keeps them from others until it ends."""
+    size = (HIGHEST_PORT - LOWEST_PORT) // SLICES
+    for number in range(SLICES):
+        lock = socket.socket()
+        try:
+            lock.bind((ADDRESS, LOWEST_PORT - 1 - number))
+        except OSError:
+            lock.close()
+            continue
+        first = LOWEST_PORT + number * size
+        return range(first, first + size), lock
+    return range(LOWEST_PORT, HIGHEST_PORT), None
+
+
 def free_ports(count: int) -> list[int]:
     """Ports that nothing listens on, from below those that the system gives to connections."""
     ports: list[int] = []
+    own, _ = _own_slice()
     while len(ports) < count:
-        port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+        port = random.choice(own)
         if port not in ports and port not in _given and _is_free(port):
             ports.append(port)
     _given.update(ports)
