--- a/soak/plan.py
+++ b/soak/plan.py
@@ -92,6 +92,7 @@
     (("late_ms", 1500),),
 )
 
+# Named as often as they are to come.
 KINDS = ("link", "link", "link", "node", "node", "target", "target", "store", "config")
 
 NODE_SIGNALS = (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP)
@@ -111,9 +112,7 @@
 
 def _draw(rng: random.Random, at_s: float, for_s: float, places: int) -> Fault:
     place = rng.randrange(places)
-    kind = rng.choice(
-        ("link", "link", "link", "node", "node", "target", "target", "store", "config")
-    )
+    kind = rng.choice(KINDS)
     if kind == "link":
         where = rng.choice(("peer", "peer", "target", "store"))
         command = rng.choice(
