Count and log the membership packets that the byte budgets do not allow

Cause: on the grown deployments changes of the configuration came into force late at some nodes, and neither logs nor metrics could tell why. `skipped_packets` counted unsent packets without their kind and nothing read it; a node that was suspected did not log that it refuted it; a node did not log when it first heard of a version, nor why a fetch failed.

A connection whose configuration response is not usable is closed.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -10,9 +10,11 @@
 
 from foxtailproxy import __version__
 from foxtailproxy.metrics import MetricsExport
-from foxtailproxy.models.messages import Announcement, MemberRecord
+from foxtailproxy.models.messages import Announcement, MemberRecord, PacketKind
 
 if TYPE_CHECKING:
+    from collections import Counter
+
     from foxtailproxy.node import Node
 
 MAX_BODY_BYTES = 65536
@@ -156,6 +158,11 @@
             "platform_failures": self._node.store.counters.failures,
             "speed_checks": self._node.target.health_check.speed_checks,
             "retries": self._node.metrics.retries,
+            **_packet_gauges("sent", self._node.gossip.socket.sent_by_kind),
+            **_packet_gauges("skipped", self._node.gossip.socket.skipped_by_kind),
+            "members_suspected": self._node.gossip.detector.suspected_count,
+            "members_declared_dead": self._node.gossip.detector.declared_dead_count,
+            "refutations": self._node.table.refutation_count,
         }
 
     @app.route("/announce", methods=["POST"])
@@ -218,5 +225,10 @@
     return _json_response(request, AdminError(error, detail))
 
 
+def _packet_gauges(verdict: str, count_by_kind: Counter[PacketKind]) -> dict[str, float]:
+    """Return the packets of the membership protocol by kind; `verdict` is sent or skipped."""
+    return {f"gossip_{verdict}_{kind.value}": count_by_kind[kind] for kind in PacketKind}
+
+
 def _counter_values(counters: Any) -> dict[str, int]:
     return {name: getattr(counters, name) for name in counters.__slots__}
--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -117,6 +117,8 @@
         self._on_adopted = on_adopted
         self._revision = 0
         self._pending_fetches: set[tuple[int, str]] = set()
+        self._announced_version: tuple[int, str] = (0, "")
+        self._announced_ms = 0.0
         self._closed = False
 
     def start(self) -> None:
@@ -154,6 +156,7 @@
             "config_adopted",
             generation=config.generation,
             source=source,
+            after_ms=self._ms_since_announced(version_of(config)),
             services=len(rule_book.service_by_name),
             routes=rule_book.route_count,
         )
@@ -183,10 +186,20 @@
     def version_received(self, generation: int, change: str, member: MemberRecord) -> None:
         """Fetch the configuration that a peer announces if it is newer."""
         version = (generation, change)
+        if version > max(self.version(), self._announced_version):
+            self._announced_version = version
+            self._announced_ms = self._clock.now_ms()
+            log.info("config_announced", generation=generation, peer=member.node_id)
         if version > self.version() and version not in self._pending_fetches:
             self._pending_fetches.add(version)
             ensureDeferred(self._fetch(version, member))  # type: ignore[arg-type]
 
+    def _ms_since_announced(self, version: tuple[int, str]) -> int:
+        """Return the time since a peer first announced a version; 0 if none has."""
+        if version != self._announced_version:
+            return 0
+        return round(self._clock.now_ms() - self._announced_ms)
+
     async def _fetch(self, version: tuple[int, str], member: MemberRecord) -> None:
         config = await self._peers.fetch_config(member)
         self._pending_fetches.discard(version)
--- a/foxtailproxy/failure_detector.py
+++ b/foxtailproxy/failure_detector.py
@@ -54,6 +54,8 @@
         self._socket = socket
         self._rng = rng
         self._disseminate = disseminate
+        self.suspected_count = 0
+        self.declared_dead_count = 0
         self._ping_count = 0
         self._ping_order: list[str] = []
         self._pending_pings: dict[int, str] = {}
@@ -132,7 +134,13 @@
             return
         record = self._table.set_state(member.node_id, MemberState.suspect)
         if record is not None:
-            log.warning("member_suspect", member=member.node_id)
+            self.suspected_count += 1
+            log.warning(
+                "member_suspect",
+                member=member.node_id,
+                incarnation=member.incarnation,
+                last_packet_age_ms=round(self._clock.now_ms() - self._socket.last_received_ms),
+            )
             self._disseminate(record)
             for delay_ms in range(
                 SUSPECT_NOTICE_INTERVAL_MS, SUSPICION_TIMEOUT_MS, SUSPECT_NOTICE_INTERVAL_MS
@@ -170,7 +178,13 @@
             return
         record = self._table.set_state(node_id, MemberState.dead)
         if record is not None:
-            log.warning("member_dead", member=node_id)
+            self.declared_dead_count += 1
+            log.warning(
+                "member_dead",
+                member=node_id,
+                incarnation=incarnation,
+                last_packet_age_ms=round(self._clock.now_ms() - self._socket.last_received_ms),
+            )
             self._disseminate(record)
 
     def handle_ping(self, packet: GossipPacket, address: Address) -> None:
--- a/foxtailproxy/gossip_socket.py
+++ b/foxtailproxy/gossip_socket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +32,9 @@
 PACKET_OVERHEAD_BYTES = 28
 """Size of the IP and UDP headers of a datagram."""
 
+SKIPPED_LOG_INTERVAL_MS = 1000
+"""Shortest interval between two log lines on packets that the budgets did not allow."""
+
 
 @dataclass(slots=True)
 class TrafficCounters:
@@ -64,6 +68,8 @@
         on_packet: Callable[[GossipPacket, Address], None],
     ) -> None:
         self.counters = TrafficCounters()
+        self.sent_by_kind: Counter[PacketKind] = Counter()
+        self.skipped_by_kind: Counter[PacketKind] = Counter()
         self.budget = budget
         self.paid_budget = paid_budget
         self.last_received_ms = 0.0
@@ -73,6 +79,8 @@
         self._on_packet = on_packet
         self._sequence = 0
         self._started_ms = clock.now_ms()
+        self._skipped_unlogged: Counter[PacketKind] = Counter()
+        self._skipped_logged_ms = self._started_ms
         self._decoder = msgspec.msgpack.Decoder(GossipPacket)
         self._encoder = msgspec.msgpack.Encoder()
 
@@ -117,9 +125,10 @@
         size = len(data) + PACKET_OVERHEAD_BYTES
         starting_up = self._clock.now_ms() - self._started_ms < STARTUP_PERIOD_MS
         if not self._reserve(size, packet, paid, starting_up or packet.kind is PacketKind.push):
-            self.counters.skipped_packets += 1
+            self._record_skipped(packet.kind)
             return False
         self.counters.sent_packets += 1
+        self.sent_by_kind[packet.kind] += 1
         self.counters.sent_bytes += size
         if paid:
             self.counters.paid_sent_bytes += size
@@ -137,6 +146,24 @@
             return True
         return all(budget.try_consume(size, urgent) for budget in budgets)
 
+    def _record_skipped(self, kind: PacketKind) -> None:
+        """Count a packet that was not sent, and log the counts by kind at intervals."""
+        self.counters.skipped_packets += 1
+        self.skipped_by_kind[kind] += 1
+        self._skipped_unlogged[kind] += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._skipped_logged_ms < SKIPPED_LOG_INTERVAL_MS:
+            return
+        log.warning(
+            "gossip_budget_exceeded",
+            tokens=round(self.budget.tokens()),
+            paid_tokens=round(self.paid_budget.tokens()),
+            since_ms=round(now_ms - self._skipped_logged_ms),
+            **{f"skipped_{name}": count for name, count in self._skipped_unlogged.items()},
+        )
+        self._skipped_unlogged.clear()
+        self._skipped_logged_ms = now_ms
+
     def _is_cross_region(self, address: Address) -> bool:
         for record in self._table.by_id.values():
             if (record.address, record.gossip_port) == address:
--- a/foxtailproxy/membership.py
+++ b/foxtailproxy/membership.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+import structlog
 from msgspec.structs import replace
 
 from foxtailproxy.models.messages import MemberRecord, MemberState
@@ -14,6 +15,8 @@
 
     from foxtailproxy.clock import Clock
 
+log = structlog.get_logger()
+
 STATE_PRECEDENCE = {
     MemberState.alive: 0,
     MemberState.suspect: 1,
@@ -50,6 +53,7 @@
         on_previous_process: Callable[[MemberRecord], None] = lambda record: None,
     ) -> None:
         self.local_record = local_record
+        self.refutation_count = 0
         self.by_id: dict[str, MemberRecord] = {local_record.node_id: local_record}
         self._clock = clock
         self._on_change = on_change
@@ -142,6 +146,13 @@
             return
         if record.incarnation < self.local_record.incarnation:
             return
+        self.refutation_count += 1
+        log.warning(
+            "member_refuted",
+            believed=record.state.value,
+            incarnation=record.incarnation,
+            same_process=record.boot_id == self.local_record.boot_id,
+        )
         self.update_local_record(incarnation=record.incarnation + 1)
         self._on_refutation()
 
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -12,7 +12,13 @@
 
 from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http.body import BodyStream
-from foxtailproxy.http.errors import ConnectFailed, ExchangeCancelled, HttpError, ReadTimeout
+from foxtailproxy.http.errors import (
+    ConnectFailed,
+    ExchangeCancelled,
+    HttpError,
+    MalformedResponse,
+    ReadTimeout,
+)
 from foxtailproxy.http.messages import HeaderList, RequestHead, ResponseHead, get_header
 from foxtailproxy.http.pool import ConnectionPool
 from foxtailproxy.load import parse_load
@@ -136,20 +142,26 @@
 
     async def fetch_config(self, member: MemberRecord) -> ConfigObject | None:
         """Return the configuration of another node, or `None` if it could not be fetched."""
-        head = RequestHead(b"GET", CONFIG_PATH, [(b"host", b"node")])
         try:
-            connection = await self._get_pool(member.address, member.peer_port).acquire()
-            response = await self._request(connection, head, BodyStream.from_bytes(b""))
-            fits = await response.body.buffer(MAX_CONFIG_BYTES)
-        except HttpError:
+            return await self._request_config(member)
+        except (HttpError, zlib.error, msgspec.MsgspecError) as error:
+            log.warning("config_fetch_failed", peer=member.node_id, error=type(error).__name__)
             return None
+
+    async def _request_config(self, member: MemberRecord) -> ConfigObject:
+        """Request the configuration of another node.
+
+        Raises `HttpError`, `zlib.error` or `msgspec.MsgspecError`.
+        """
+        head = RequestHead(b"GET", CONFIG_PATH, [(b"host", b"node")])
+        connection = await self._get_pool(member.address, member.peer_port).acquire()
+        response = await self._request(connection, head, BodyStream.from_bytes(b""))
+        fits = await response.body.buffer(MAX_CONFIG_BYTES)
         if response.head.status != OK_STATUS or not fits:
-            return None
-        try:
-            text = zlib.decompress(response.body.buffered())
-            return msgspec.json.decode(text, type=ConfigObject)
-        except (zlib.error, msgspec.MsgspecError):
-            return None
+            connection.abort()
+            raise MalformedResponse
+        text = zlib.decompress(response.body.buffered())
+        return msgspec.json.decode(text, type=ConfigObject)
 
     async def _recover(self, call: Call, member: MemberRecord) -> Outcome:
         """Query a call's outcome on new connections; the node seals a call it never received."""
--- a/foxtailproxy/tests/fakes.py
+++ b/foxtailproxy/tests/fakes.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import random
+from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+import structlog
 from expression import Error, Ok
+from structlog.testing import LogCapture
 from twisted.internet import task
 from twisted.internet.defer import Deferred
 
@@ -28,6 +31,9 @@
     Unreachable,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 LIMITS = LimitsSection()
 
 
@@ -44,6 +50,18 @@
         remaining_ms -= step_ms
 
 
+@contextmanager
+def captured_log() -> Iterator[list[Any]]:
+    """Collect the log entries of all levels, as dictionaries, while the context is active."""
+    suppressing = structlog.get_config()
+    capture = LogCapture()
+    structlog.configure(processors=[capture], wrapper_class=structlog.stdlib.BoundLogger)
+    try:
+        yield capture.entries
+    finally:
+        structlog.configure(**suppressing)
+
+
 def make_member(node_id: str, **fields: Any) -> MemberRecord:
     """Return the membership record of a node, with `fields` replacing the defaults."""
     values: dict[str, Any] = {
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -62,3 +62,13 @@
       | count | situation     |
       | 8     | at rest       |
       | 16    | half replaced |
+
+  Scenario: A packet that the budget does not allow is counted and logged by its kind
+    Given 8 nodes in 2 regions that know each other
+    When the budget of a node is used up for 3500 ms
+    Then it counted and logged unsent packets of kind ping, at most once a second
+
+  Scenario: A node logs that it refuted a suspicion
+    Given 8 nodes in 2 regions that know each other
+    When a node is isolated for 20000 ms and its log is captured
+    Then it logged that it was believed dead or suspect
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -8,10 +8,10 @@
 from behave import given, then, when
 from msgspec.structs import replace
 
-from foxtailproxy.models.messages import MemberState
+from foxtailproxy.models.messages import MemberState, PacketKind
 from foxtailproxy.models.rules import FleetRule
 from foxtailproxy.node import CATCH_UP_ROUNDS
-from foxtailproxy.tests.fakes import advance, fake_clock
+from foxtailproxy.tests.fakes import advance, captured_log, fake_clock
 from foxtailproxy.tests.gossip_fakes import (
     FakeNetwork,
     GossipNode,
@@ -51,6 +51,21 @@
     context.nodes[SUBJECT].running = True
 
 
+@when("a node is isolated for {ms:d} ms and its log is captured")
+def step_isolate_with_log(context: Any, ms: int) -> None:
+    step_isolate_node(context, ms)
+    with captured_log() as context.entries:
+        advance(context.clock, SETTLE_MS, STEP_MS)
+
+
+@when("the budget of a node is used up for {ms:d} ms")
+def step_use_up_budget(context: Any, ms: int) -> None:
+    socket = context.nodes[SUBJECT].gossip.socket
+    socket.budget.set_rate(0)
+    with captured_log() as context.entries:
+        advance(context.clock, ms, STEP_MS)
+
+
 @when("it is restarted")
 def step_restart(context: Any) -> None:
     advance(context.clock, SETTLE_MS, STEP_MS)
@@ -145,6 +160,23 @@
     assert not any(declared_dead.values()), declared_dead
 
 
+@then("it counted and logged unsent packets of kind ping, at most once a second")
+def step_unsent_packets_logged(context: Any) -> None:
+    skipped = context.nodes[SUBJECT].gossip.socket.skipped_by_kind
+    lines = [entry for entry in context.entries if entry["event"] == "gossip_budget_exceeded"]
+    assert 2 <= len(lines) <= 4, context.entries
+    logged = sum(entry.get("skipped_ping", 0) for entry in lines)
+    assert 2 <= logged <= skipped[PacketKind.ping] <= 4, (logged, skipped)
+
+
+@then("it logged that it was believed dead or suspect")
+def step_refutation_logged(context: Any) -> None:
+    believed = {
+        entry["believed"] for entry in context.entries if entry["event"] == "member_refuted"
+    }
+    assert believed & {"dead", "suspect"}, context.entries
+
+
 @then("no live node is seen as dead")
 def step_no_live_node_declared_dead(context: Any) -> None:
     context.wire.loss_rate = 0.0
--- a/foxtailproxy/token_bucket.py
+++ b/foxtailproxy/token_bucket.py
@@ -40,6 +40,11 @@
         self._rate_per_ms = bytes_per_s / 1000 * REFILL_SHARE
         self._tokens = min(self._tokens, self._capacity)
 
+    def tokens(self) -> float:
+        """Return the tokens in the bucket; negative if some were consumed in advance."""
+        self._refill()
+        return self._tokens
+
     def try_consume(self, size_bytes: int, urgent: bool = False) -> bool:
         """Consume tokens if there are enough; urgent traffic may use tokens in advance."""
         self._refill()
