Test that changes of records starve neither failure detection nor a configuration

Cause, as far as shown: all packets of the membership protocol share one byte budget, and pushes of records may overdraw it.

--- a/foxtailproxy/tests/gossip_fakes.py
+++ b/foxtailproxy/tests/gossip_fakes.py
@@ -17,6 +17,9 @@
 
 REGIONAL_DELAY_MS = 0.5
 CROSS_REGION_DELAY_MS = 10.0
+FETCH_MS = 45.0
+"""Time to fetch a configuration from a node of the other region over a new connection."""
+
 MS_PER_SECOND = 1000
 
 
@@ -64,7 +67,9 @@
         self.network = network
         self.record = record
         self.running = True
+        self.suspected: set[str] = set()
         self.declared_dead: set[str] = set()
+        self.version = (0, "")
         fleet_rule = FleetRule()
         clock = network.clock
         self.table = MemberTable(clock, record, self._record_changed, self._gossip_local_record)
@@ -103,13 +108,23 @@
         return []
 
     def config_version_received(self, generation: int, change: str, member: MemberRecord) -> None:
-        """Ignore the version."""
+        """Adopt a newer configuration after the time that it takes to fetch it."""
+        if (generation, change) > self.version:
+            self.network.clock.call_later(FETCH_MS, self.adopt, (generation, change))
+
+    def adopt(self, version: tuple[int, str]) -> None:
+        """Adopt the configuration of a version, if it is newer, and announce it."""
+        if version > self.version:
+            self.version = version
+            self.gossip.disseminate_config()
 
     def config_version(self) -> tuple[int, str]:
-        """Return the version of a node without a configuration."""
-        return (0, "")
+        """Return the version of the configuration in force."""
+        return self.version
 
     def _record_changed(self, record: MemberRecord) -> None:
+        if record.state is MemberState.suspect:
+            self.suspected.add(record.node_id)
         if record.state is MemberState.dead:
             self.declared_dead.add(record.node_id)
 
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -63,6 +63,55 @@
       | 8     | at rest       |
       | 16    | half replaced |
 
+  Scenario Outline: Record changes do not starve failure detection: <count> nodes, all records change every <every> ms
+    Given <count> nodes in 2 regions that know each other
+    When the records of all nodes change every <every> ms for 12000 ms
+    Then no running node was suspected
+
+    Examples:
+      | count | every |
+      | 16    | 4000  |
+      | 16    | 1000  |
+      | 70    | 4000  |
+      | 70    | 1000  |
+
+  Scenario Outline: Record changes do not delay a configuration: <count> nodes, all records change every <every> ms
+    Given <count> nodes in 2 regions that know each other
+    When the records of all nodes change every <every> ms for 12000 ms
+    And one node adopts a new configuration
+    Then all nodes have it within 3000 ms
+
+    Examples:
+      | count | every |
+      | 16    | 4000  |
+      | 16    | 1000  |
+      | 70    | 4000  |
+      | 70    | 1000  |
+
+  Scenario Outline: Record changes do not hide a death: <count> nodes, all records change every <every> ms
+    Given <count> nodes in 2 regions that know each other
+    When the records of all nodes change every <every> ms for 12000 ms
+    And one node is killed
+    And the records of all nodes change every <every> ms for 8000 ms
+    Then all nodes of its region have declared it dead
+
+    Examples:
+      | count | every |
+      | 16    | 4000  |
+      | 16    | 1000  |
+      | 70    | 4000  |
+      | 70    | 1000  |
+
+  Scenario Outline: A start of <count> nodes at once causes no false suspicion
+    Given <count> nodes that start at once and find their targets within 3000 ms
+    When the fleet is at rest for 20000 ms
+    Then no running node was suspected
+
+    Examples:
+      | count |
+      | 16    |
+      | 70    |
+
   Scenario: A packet that the budget does not allow is counted and logged by its kind
     Given 8 nodes in 2 regions that know each other
     When the budget of a node is used up for 3500 ms
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -35,6 +35,17 @@
     advance(context.clock, SETTLE_MS, STEP_MS)
 
 
+@given("{count:d} nodes that start at once and find their targets within {ms:d} ms")
+def step_start_at_once(context: Any, count: int, ms: int) -> None:
+    context.clock = fake_clock()
+    context.wire = FakeNetwork(context.clock, random.Random(count))
+    context.nodes = build_nodes(context.wire, count)
+    for number, node in enumerate(context.nodes.values()):
+        node.gossip.disseminate(node.table.local_record)
+        context.clock.call_later(ms * number / count, _announce_target, node, "wages")
+    advance(context.clock, ms, STEP_MS)
+
+
 @when("one node is {change}")
 def step_kill_or_leave(context: Any, change: str) -> None:
     subject = context.nodes[SUBJECT]
@@ -82,7 +93,7 @@
 def step_restart_with_stale_records(context: Any) -> None:
     stale_records = [node.table.local_record for node in context.nodes.values()]
     for node in context.nodes.values():
-        node.gossip.disseminate(node.table.update_local_record(service="wages", slots=3))
+        _announce_target(node, "wages")
     advance(context.clock, SETTLE_MS, STEP_MS)
     previous = context.nodes[SUBJECT]
     previous.kill()
@@ -137,6 +148,44 @@
     advance(context.clock, ms, STEP_MS)
 
 
+@when("the records of all nodes change every {every:d} ms for {ms:d} ms")
+def step_change_records(context: Any, every: int, ms: int) -> None:
+    for _ in range(ms // every):
+        for node in filter(lambda node: node.running, context.nodes.values()):
+            slots = node.table.local_record.slots + 1
+            node.gossip.disseminate(node.table.update_local_record(slots=slots))
+        advance(context.clock, every, STEP_MS)
+
+
+@when("one node adopts a new configuration")
+def step_adopt_config(context: Any) -> None:
+    context.nodes[SUBJECT].adopt((1, "change"))
+
+
+@then("all nodes have it within {within:d} ms")
+def step_config_in_force(context: Any, within: int) -> None:
+    advance(context.clock, within, STEP_MS)
+    late = [node_id for node_id, node in context.nodes.items() if node.version[0] != 1]
+    assert not late, late
+
+
+@then("all nodes of its region have declared it dead")
+def step_death_is_known(context: Any) -> None:
+    region = context.nodes[SUBJECT].record.region
+    unaware = [
+        node_id
+        for node_id, node in context.nodes.items()
+        if node.running and node.record.region == region and SUBJECT not in node.declared_dead
+    ]
+    assert not unaware, unaware
+
+
+@then("no running node was suspected")
+def step_no_running_node_suspected(context: Any) -> None:
+    suspected = {node_id: node.suspected for node_id, node in context.nodes.items()}
+    assert not any(suspected.values()), suspected
+
+
 @then("all peers see it as {state} within {within:d} ms")
 def step_seen_in_state(context: Any, state: str, within: int) -> None:
     waited_ms = 0.0
@@ -192,3 +241,8 @@
     for (node_id, paid), per_second in context.wire.sent_bytes.items():
         sent_bytes = max_bytes_in_window(per_second, WINDOW_S)
         assert sent_bytes <= budget[paid] * WINDOW_S, f"{node_id} paid={paid}: {sent_bytes} bytes"
+
+
+def _announce_target(node: GossipNode, service: str) -> None:
+    """Make a node tell its peers that it has found its target."""
+    node.gossip.disseminate(node.table.update_local_record(service=service, slots=3))
