Bound what is read from an upstream that sends bytes without end

Cause: an upstream in trouble may send bytes that are no answer until its connection is closed, and nothing bounded them. Heads, interim responses, late answers, chunk extensions and trailers were read until the deadline; a header or a trailer grew in memory meanwhile. A health check whose body exceeded its limit left its connection open, one more with each check.

Change: 1 MiB in a row that is not body of the response ends the exchange as malformed, so that an idempotent call is repeated elsewhere at once. A health check closes the connection of a body that does not fit. The error that ended an exchange with the upstream is logged (`upstream_connection_lost`).

--- a/foxtailproxy/health_check.py
+++ b/foxtailproxy/health_check.py
@@ -9,7 +9,7 @@
 
 from foxtailproxy.clock import cancel_timer
 from foxtailproxy.http.body import BodyStream
-from foxtailproxy.http.errors import DeadlineExceeded, HttpError
+from foxtailproxy.http.errors import DeadlineExceeded, HttpError, MalformedResponse
 from foxtailproxy.http.messages import RequestHead
 
 if TYPE_CHECKING:
@@ -103,7 +103,8 @@
                 BodyStream.from_bytes(b""),
                 lambda answer: self._dialect.answers_attempt(answer, ""),
             )
-            await response.body.buffer(MAX_BODY_BYTES)
+            if not await response.body.buffer(MAX_BODY_BYTES):
+                connection.fail(MalformedResponse())
         finally:
             cancel_timer(timer)
         return response.head.status, self._dialect.read_upstream_metadata(response.head)
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -22,6 +22,10 @@
 
     ResponseFilter = Callable[[messages.ResponseHead], bool]
 
+MAX_OVERHEAD_BYTES = 1_048_576
+"""Maximum number of bytes in a row that are not body of the response: heads, interim and skipped
+responses, chunk extensions and trailers. A server in trouble may send them without end."""
+
 
 @dataclass(slots=True)
 class ClientResponse:
@@ -70,6 +74,7 @@
         self._unexpected_response = False
         self._skipping_response = False
         self._keep_alive = False
+        self._overhead_bytes = 0
 
     @property
     def busy(self) -> bool:
@@ -172,6 +177,7 @@
             return
         if self.on_data_received is not None:
             self.on_data_received(self)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -181,6 +187,8 @@
             return
         if self._message_complete:
             self._exchange_done()
+        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self.fail(MalformedResponse())
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Fail or complete the exchange in progress."""
@@ -256,12 +264,14 @@
     def on_body(self, data: bytes) -> None:
         """Append bytes to the response body."""
         if self._response_body is not None:
+            self._overhead_bytes = 0
             self._response_body.feed(data)
 
     def on_message_complete(self) -> None:
         """Complete an interim, skipped or final response."""
         if self._parser.get_status_code() < 200:
             if self.on_interim is not None:
+                self._overhead_bytes = 0
                 self.on_interim(self._headers)
             return
         if self._skipping_response:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -427,6 +427,11 @@
             return Unknown(UnknownReason.DEADLINE)
         if isinstance(error, ExchangeCancelled):
             return Unknown(UnknownReason.CANCELLED)
+        log.warning(
+            "upstream_connection_lost",
+            attempt=active_call.call.attempt_id,
+            error=type(error).__name__,
+        )
         crashed = await self._crash_watch.check_crash(active_call.call)
         return Unknown(UnknownReason.UPSTREAM_LOST, crashed)
 
