Compare member records sooner after the budget dropped some

Cause: a push that the budget does not allow is dropped, and nothing looked for what was missing before the next of the comparisons each 5 s, one peer at a time. The second push of a record was sent although the budget was short, and took the bytes of others.

Change: after a dropped packet with records, or a comparison that found a difference, a node compares with the next peer after 1 s. While bytes are sent in advance, a record of a node that is alive is pushed once, not twice.

Why it works: a comparison sends only what the other node does not have, so that bytes are spent on news.

--- a/foxtailproxy/comparison.py
+++ b/foxtailproxy/comparison.py
@@ -19,8 +19,11 @@
     from foxtailproxy.gossip_socket import Address, GossipSocket
     from foxtailproxy.membership import MemberTable
 
-DIGEST_INTERVAL_MS = 5000
-"""Interval between two comparisons with a peer."""
+DIGEST_INTERVAL_MS = 1000
+"""Interval between two comparisons with a peer while records are known to differ."""
+
+INTERVALS_AT_REST = 5
+"""Number of these intervals between two comparisons while none are."""
 
 DEAD_PEER_SHARE = 0.2
 """Share of the comparisons that go to nodes declared dead, which may be alive after a network
@@ -49,6 +52,20 @@
         self._socket = socket
         self._rng = rng
         self._crash_reports = crash_reports
+        self._records_differ = False
+        self._intervals_since_comparison = 0
+
+    def records_skipped(self) -> None:
+        """Compare sooner: the budget did not allow a packet with records."""
+        self._records_differ = True
+
+    def compare_if_due(self) -> None:
+        """Start a comparison with a random node if it is time for one."""
+        self._intervals_since_comparison += 1
+        if self._records_differ or self._intervals_since_comparison >= INTERVALS_AT_REST:
+            self._records_differ = False
+            self._intervals_since_comparison = 0
+            self.compare_with_random_peer()
 
     def compare_with_random_peer(self) -> None:
         """Start a comparison with a random node, mostly in the local region."""
@@ -108,6 +125,7 @@
                 self._send_ranks(data_center, RANKS_REQUEST_SEQUENCE, address)
 
     def _handle_ranks(self, packet: GossipPacket, address: Address) -> None:
+        self._records_differ = True
         newer = self._table.records_newer_than(packet.subject, packet.incarnations)
         local_ranks = self._table.ranks(packet.subject)
         for start in range(0, len(newer), RECORDS_PER_PACKET):
--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -86,9 +86,7 @@
     def start(self) -> None:
         """Start the periodic pings and comparisons."""
         pings = self._clock.repeat(PING_INTERVAL_MS, self.detector.ping_next)
-        comparisons = self._clock.repeat(
-            DIGEST_INTERVAL_MS, self.comparison.compare_with_random_peer
-        )
+        comparisons = self._clock.repeat(DIGEST_INTERVAL_MS, self.comparison.compare_if_due)
         self._loops = [pings, comparisons]
 
     def close(self) -> None:
@@ -137,6 +135,14 @@
                 self.socket.send(member, self.socket.build_packet(PacketKind.push))
             self._push_records(member, verdicts, crashes)
             self._push_records(member, others, [])
+        self._finish_round(others)
+
+    def _finish_round(self, others: list[MemberRecord]) -> None:
+        """Schedule the next push, of records that were not yet included often enough."""
+        if self.socket.budget.tokens() < 0:
+            # Comparisons send what is missing with fewer bytes than further pushes.
+            for record in others:
+                self._rounds_left_by_id[record.node_id] = 1
         self._rounds_left_by_id = {
             node_id: rounds_left - 1
             for node_id, rounds_left in self._rounds_left_by_id.items()
@@ -172,7 +178,8 @@
         for number in range(packet_count):
             batch = records[number * RECORDS_PER_PACKET :][:RECORDS_PER_PACKET]
             packet = self.socket.build_packet(PacketKind.push, members=batch, crashes=crashes)
-            self.socket.send(member, packet)
+            if not self.socket.send(member, packet):
+                self.comparison.records_skipped()
             crashes = []
 
     # Packets from peers
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -131,3 +131,13 @@
       | count | every |
       | 16    | 50    |
       | 70    | 50    |
+
+  Scenario Outline: <count> nodes that start at once know all targets before the first caller
+    Given <count> nodes of the platform that start at once and find their targets within 3000 ms
+    When the fleet is at rest for 9000 ms
+    Then 99 in 100 of the targets are known, as a mean of all nodes
+
+    Examples:
+      | count |
+      | 16    |
+      | 70    |
