Give up the fetch of a configuration that stalls, so that another node is asked in time

Cause: while a fetch of a version is pending, announcements of the same version by other nodes are ignored. Once the head of the response had arrived, only the idle limit of 60 s ended a fetch whose connection had gone silent.

Change: the whole fetch has a limit of 1.5 s, after which the next packet of any node that has the version starts another.

--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -10,7 +10,7 @@
 import structlog
 from expression import Error, Ok
 
-from foxtailproxy.clock import WorkTimer
+from foxtailproxy.clock import WorkTimer, cancel_timer
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import (
     ConnectFailed,
@@ -51,6 +51,10 @@
 MAX_CONFIG_BYTES = 2_097_152
 """Maximum compressed size of a configuration fetched from another node, in bytes."""
 
+FETCH_TIMEOUT_MS = 1500
+"""Timeout of the fetch of a configuration, in milliseconds. After a failed fetch there must be time
+to fetch it from another node within the 3 s in which a change has to be in force."""
+
 CONNECT_TIMEOUT_MS = 250
 """Connect timeout to another node, in milliseconds: six round trips between regions. An instance
 without power does not refuse connections, and the call can still be in time at another target."""
@@ -155,8 +159,12 @@
         """
         head = RequestHead(b"GET", CONFIG_PATH, [(b"host", b"node")])
         connection = await self._get_pool(member.address, member.peer_port).acquire()
-        response = await self._request(connection, head, BodyStream.from_bytes(b""))
-        fits = await response.body.buffer(MAX_CONFIG_BYTES)
+        timer = self._clock.call_later(FETCH_TIMEOUT_MS, connection.fail, ReadTimeout())
+        try:
+            response = await self._request(connection, head, BodyStream.from_bytes(b""))
+            fits = await response.body.buffer(MAX_CONFIG_BYTES)
+        finally:
+            cancel_timer(timer)
         if response.head.status != OK_STATUS or not fits:
             connection.abort()
             raise MalformedResponse
--- a/foxtailproxy/tests/peer_recovery.feature
+++ b/foxtailproxy/tests/peer_recovery.feature
@@ -57,3 +57,8 @@
       | may     | when_told     |
       | may     | within 500 ms |
       | may not | nothing       |
+
+  Scenario: A configuration that stalls half-way does not delay the next attempt to fetch it
+    Given a node whose configuration stalls half-way
+    When its configuration is fetched
+    Then the fetch failed within 1700 ms
--- a/foxtailproxy/tests/steps/peer_recovery.py
+++ b/foxtailproxy/tests/steps/peer_recovery.py
@@ -11,6 +11,7 @@
 from msgspec.structs import replace
 from twisted.internet import reactor, threads
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.protocol import Factory, Protocol
 
 from foxtailproxy.call import Call
 from foxtailproxy.clock import Clock
@@ -130,6 +131,53 @@
         self.relay.refusing = True
 
 
+class StallingServer(Protocol):
+    """Node that sends a part of its configuration and then nothing more."""
+
+    transport: Any = None
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Send the part."""
+        self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n" + bytes(1000))
+
+
+class StallingNode:
+    """Client of a node whose configuration stalls."""
+
+    def __init__(self) -> None:
+        loop: Any = reactor
+        self.port = loop.listenTCP(0, Factory.forProtocol(StallingServer), interface="127.0.0.1")
+        self.client = PeerClient(Clock(loop), loop, LIMITS, lambda node_id, load: None)
+        self.member = make_member("b", address="127.0.0.1", peer_port=self.port.getHost().port)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        threads.blockingCallFromThread(reactor, self.client.close)
+        threads.blockingCallFromThread(reactor, self.port.stopListening)
+
+
+@given("a node whose configuration stalls half-way")
+def step_stalling_node(context: Any) -> None:
+    context.live = threads.blockingCallFromThread(reactor, StallingNode)
+
+
+@when("its configuration is fetched")
+def step_fetch_config(context: Any) -> None:
+    node = context.live
+    started_s = time.monotonic()
+    context.fetched_config = threads.blockingCallFromThread(
+        reactor,
+        lambda: ensureDeferred(node.client.fetch_config(node.member)).addTimeout(5, reactor),
+    )
+    context.elapsed_ms = (time.monotonic() - started_s) * 1000
+
+
+@then("the fetch failed within {ms:d} ms")
+def step_fetch_failed(context: Any, ms: int) -> None:
+    assert context.fetched_config is None
+    assert context.elapsed_ms <= ms, context.elapsed_ms
+
+
 @given("two nodes with a relay between them")
 def step_two_nodes(context: Any) -> None:
     context.live = threads.blockingCallFromThread(reactor, TwoNodes)
