Announce the close of a caller's connection before a stopping node closes it

Cause: a node that stops closes each caller's connection after its next response, which says so in its head. A response whose head had been sent before the signal, such as a stream, cannot say so any more; its connection was closed all the same at its end, and a request that the caller sent meanwhile was lost.

Change: such a connection stays open. The next response on it announces the close, or the node closes it when it has drained.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -70,6 +70,7 @@
         may_overlap: Callable[[messages.RequestHead], bool],
     ) -> None:
         self.closing = False
+        self._close_when_idle = False
         self._handler = handler
         self._may_overlap = may_overlap
         self.limits = limits
@@ -313,7 +314,7 @@
         self._resume("pipeline")
         if self._exchanges:
             self._clock.call_later(0, self._serve_next)
-        elif self.closing:
+        elif self._close_when_idle:
             self.transport.loseConnection()
         elif not self._in_head:
             self._start_timer(self.limits.idle_time_ms)
@@ -347,6 +348,7 @@
     def close_when_idle(self) -> None:
         """Close the connection now if it is idle, else after the last response."""
         self.closing = True
+        self._close_when_idle = True
         if not self._exchanges:
             self.transport.loseConnection()
 
@@ -415,7 +417,7 @@
         return bool(self.connections)
 
     def close_after_responses(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response whose head can still announce it."""
         self._closing = True
         for connection in self.connections:
             connection.closing = True
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -53,3 +53,9 @@
       | may not | one after the other            | stays open  | -     | 1      | nothing     |
       | may not | the first ends                 | stays open  | 1     | 1 2    | 1           |
       | may not | the connection is to be closed | is to close | 1     | 1      | 1 close     |
+
+  Scenario: A connection whose response began before the shutdown is not closed without notice
+    Given a connection with a response that has begun
+    When the node is to stop and the response ends
+    Then the connection stays open
+    And the next response says that the connection closes, and it does
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -68,3 +68,43 @@
     received = re.findall(r"<(\d)>", context.transport.value().decode())
     received += ["close"] if context.transport.close_kind == "closed" else []
     assert (" ".join(received) or "nothing") == expected, (received, context.transport.value())
+
+
+@given("a connection with a response that has begun")
+def step_response_begun(context: Any) -> None:
+    context.clock = fake_clock()
+    context.body = BodyStream(4)
+
+    async def handle(exchange: ServerExchange) -> None:
+        is_first = exchange.head.target == b"/first"
+        body = context.body if is_first else BodyStream.from_bytes(b"next")
+        exchange.respond(ResponseHead(200, b"OK"), body)
+
+    context.factory = ServerFactory(handle, SERVER_LIMITS, context.clock)
+    context.connection = context.factory.buildProtocol(None)
+    context.transport = RecordingTransport()
+    context.connection.makeConnection(context.transport)
+    context.connection.dataReceived(b"GET /first HTTP/1.1\r\n%s\r\n" % HOST_HEADER)
+
+
+@when("the node is to stop and the response ends")
+def step_stop_and_end(context: Any) -> None:
+    assert b"connection: close" not in context.transport.value()
+    context.factory.close_after_responses()
+    context.body.feed(b"done")
+    context.body.end()
+    advance(context.clock, 5)
+
+
+@then("the connection stays open")
+def step_stays_open(context: Any) -> None:
+    assert not context.transport.close_kind, context.transport.close_kind
+
+
+@then("the next response says that the connection closes, and it does")
+def step_next_response_closes(context: Any) -> None:
+    context.transport.clear()
+    context.connection.dataReceived(b"GET /next HTTP/1.1\r\n%s\r\n" % HOST_HEADER)
+    advance(context.clock, 5)
+    assert b"connection: close" in context.transport.value(), context.transport.value()
+    assert context.transport.close_kind == "closed", context.transport.close_kind
