Let a verdict of death outrank changes of the dead node that arrive late

What callers would see: calls sent to a node that is dead, again after it had been declared dead.

Cause: a record with a higher incarnation wins, and the verdict kept the incarnation that its author knew. While the budget is short, changes that the node made before it failed arrive after the verdict and revive it; each time it has to be detected again.

Change: a verdict of death raises the incarnation by 1000. A node that runs raises its own above that when it learns of it, as before.

--- a/foxtailproxy/failure_detector.py
+++ b/foxtailproxy/failure_detector.py
@@ -31,6 +31,10 @@
 SUSPECT_NOTICE_INTERVAL_MS = 500
 """Interval between notifications to a suspect node in that time."""
 
+VERDICT_INCARNATION_STEP = 1000
+"""Step by which a verdict of death raises the incarnation of the record, so that it outranks those
+changes which the node made before it failed and which arrive later."""
+
 RELAY_COUNT = 2
 """Peers that are asked to ping a node that did not answer."""
 
@@ -180,7 +184,7 @@
             return
         if member.state is MemberState.alive:
             return
-        record = self._table.set_state(node_id, MemberState.dead)
+        record = self._table.set_state(node_id, MemberState.dead, VERDICT_INCARNATION_STEP)
         if record is not None:
             self.declared_dead_count += 1
             log.warning(
--- a/foxtailproxy/membership.py
+++ b/foxtailproxy/membership.py
@@ -93,12 +93,15 @@
         self._on_change(record)
         return True
 
-    def set_state(self, node_id: str, state: MemberState) -> MemberRecord | None:
+    def set_state(
+        self, node_id: str, state: MemberState, incarnation_step: int = 0
+    ) -> MemberRecord | None:
         """Set the state of a peer; return its new record, or `None` if nothing changed."""
         current = self.by_id.get(node_id)
         if current is None or node_id == self.local_record.node_id:
             return None
-        updated = replace(current, state=state)
+        incarnation = current.incarnation + incarnation_step
+        updated = replace(current, state=state, incarnation=incarnation)
         return updated if self.merge(updated) else None
 
     def sweep(self) -> None:
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -33,8 +33,13 @@
 
 @given("{count:d} nodes in 2 regions that know each other")
 def step_start_nodes(context: Any, count: int) -> None:
+    step_start_seeded_nodes(context, count, count)
+
+
+@given("{count:d} nodes in 2 regions that know each other, with seed {seed:d}")
+def step_start_seeded_nodes(context: Any, count: int, seed: int) -> None:
     context.clock = fake_clock()
-    context.wire = FakeNetwork(context.clock, random.Random(count))
+    context.wire = FakeNetwork(context.clock, random.Random(seed))
     context.nodes = build_nodes(context.wire, count)
     advance(context.clock, SETTLE_MS, STEP_MS)
 
