Push verdicts from several nodes of a data centre to each other one

What callers would see: nodes of another data centre of the region keep a dead node as suspect for seconds, and send to it if no other target is there.

Cause: each node that passes an update on sends it to another data centre with a chance of one in the number of nodes, so that in 37 of 100 cases none does. For a verdict the next chance is a comparison, as late as its budget allows.

Change: the mean number of crossings is 3 for pushes with verdicts.

--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -35,6 +35,10 @@
 LOCAL_FANOUT = 3
 """Peers in the local data centre that receive each push."""
 
+NEWS_CROSSINGS = 1
+VERDICT_CROSSINGS = 3
+"""Mean number of nodes of a data centre that push an update to each other data centre."""
+
 PUSH_ROUNDS = 2
 """Pushes in which a node includes each update."""
 
@@ -129,7 +133,7 @@
         ]
         verdicts = [record for record in pending if record.state is not MemberState.alive]
         others = [record for record in pending if record.state is MemberState.alive]
-        for member in self._choose_push_peers():
+        for member in self._choose_push_peers(VERDICT_CROSSINGS if verdicts else NEWS_CROSSINGS):
             # Separate packets, since the budget treats each purpose differently.
             if has_config_news:
                 self.socket.send(member, self.socket.build_packet(PacketKind.push))
@@ -151,11 +155,11 @@
         if self._rounds_left_by_id:
             self._schedule_push(False)
 
-    def _choose_push_peers(self) -> list[MemberRecord]:
+    def _choose_push_peers(self, crossings: int) -> list[MemberRecord]:
         """Choose the peers that receive a push.
 
         An update of the local record goes to each data centre once. That of a peer goes from each
-        data centre to each other one about once.
+        data centre to each other one about `crossings` times.
         """
         is_local_update = (
             self._rounds_left_by_id.get(self._table.local_record.node_id) == PUSH_ROUNDS
@@ -167,7 +171,7 @@
         local_peers = by_data_center.pop(self._table.local_record.data_center, [])
         chosen = self._rng.sample(local_peers, min(len(local_peers), LOCAL_FANOUT))
         for records in by_data_center.values() if has_new_update else ():
-            if is_local_update or self._rng.random() < 1 / (len(local_peers) + 1):
+            if is_local_update or self._rng.random() < crossings / (len(local_peers) + 1):
                 chosen.append(self._rng.choice(records))
         return chosen
 
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -114,6 +114,17 @@
       | 70    | 5    |
       | 70    | 8    |
 
+  Scenario Outline: A verdict of death reaches the other data centre: <count> nodes, seed <seed>
+    Given <count> nodes in 2 regions that know each other, with seed <seed>
+    When the records of all nodes change every 1000 ms for 12000 ms
+    And one node is killed
+    And the records of all nodes change every 1000 ms for 8000 ms
+    Then all nodes of its region have declared it dead
+
+    Examples:
+      | count | seed |
+      | 16    | 44   |
+
   Scenario Outline: A start of <count> nodes at once causes no false suspicion
     Given <count> nodes of the platform that start at once and find their targets within 3000 ms
     When the fleet is at rest for 20000 ms
