--- a/foxtailproxy/tests/live_config.feature
+++ b/foxtailproxy/tests/live_config.feature
@@ -33,3 +33,4 @@
     Given 6 nodes with an upstream each, as real processes
     When the fleet is idle for 10 s
     Then no node sent more than its measurement budget
+    And the metrics of each node count its packets by kind, with no ping or ack unsent
--- a/foxtailproxy/tests/steps/live.py
+++ b/foxtailproxy/tests/steps/live.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 import threading
 import time
+import urllib.request
 from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
 
+from foxtailproxy.models.messages import PacketKind
 from foxtailproxy.models.rules import FleetRule
 from foxtailproxy.tests.live import (
     BOOKING,
@@ -381,6 +384,17 @@
     context.traffic = list(zip(before, after, strict=True))
 
 
+@then("the metrics of each node count its packets by kind, with no ping or ack unsent")
+def step_packets_counted(context: Any) -> None:
+    for member in context.live.members:
+        with urllib.request.urlopen(f"http://{member.admin_address}/metrics", timeout=5) as answer:
+            text = answer.read().decode()
+        gauges = dict(re.findall(r'foxtailproxy_state{.*?name="(\w[\w-]*)".*?} (\S+)', text))
+        assert float(gauges["gossip_sent_ping"]) and float(gauges["gossip_sent_ack"]), gauges
+        unsent = {kind: float(gauges[f"gossip_skipped_{kind.value}"]) for kind in PacketKind}
+        assert not unsent[PacketKind.ping] and not unsent[PacketKind.ack], unsent
+
+
 @then("no node sent more than its measurement budget")
 def step_within_budget(context: Any) -> None:
     budgets = {
