Order and name the new fields and parameters as their neighbours

Cause: a last reading found a parameter that shared its name with the verdicts of membership, and public counters behind private fields. No change of behaviour.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -225,9 +225,9 @@
     return _json_response(request, AdminError(error, detail))
 
 
-def _packet_gauges(verdict: str, count_by_kind: Counter[PacketKind]) -> dict[str, float]:
-    """Return the packets of the membership protocol by kind; `verdict` is sent or skipped."""
-    return {f"gossip_{verdict}_{kind.value}": count_by_kind[kind] for kind in PacketKind}
+def _packet_gauges(result: str, count_by_kind: Counter[PacketKind]) -> dict[str, float]:
+    """Return the packets of the membership protocol by kind; `result` is sent or skipped."""
+    return {f"gossip_{result}_{kind.value}": count_by_kind[kind] for kind in PacketKind}
 
 
 def _counter_values(counters: Any) -> dict[str, int]:
--- a/foxtailproxy/failure_detector.py
+++ b/foxtailproxy/failure_detector.py
@@ -53,13 +53,13 @@
         rng: random.Random,
         disseminate: Callable[[MemberRecord], None],
     ) -> None:
+        self.suspected_count = 0
+        self.declared_dead_count = 0
         self._clock = clock
         self._table = table
         self._socket = socket
         self._rng = rng
         self._disseminate = disseminate
-        self.suspected_count = 0
-        self.declared_dead_count = 0
         self._ping_count = 0
         self._ping_order: list[str] = []
         self._pending_pings: dict[int, str] = {}
--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -142,7 +142,10 @@
         self._finish_round(others)
 
     def _finish_round(self, others: list[MemberRecord]) -> None:
-        """Schedule the next push, of records that were not yet included often enough."""
+        """Count a push, and schedule the next one for records that need another.
+
+        `others` are the records of it that are no verdicts.
+        """
         if self.socket.budget.tokens() < 0:
             # Comparisons send what is missing with fewer bytes than further pushes.
             for record in others:
