--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -164,3 +164,15 @@
       | count |
       | 16    |
       | 70    |
+
+  Scenario Outline: Neither versions nor verdicts starve failure detection: <count> nodes, <killed> killed
+    Given <count> nodes in 2 regions that know each other
+    When one node adopts a new configuration every 100 ms for 12000 ms
+    And <killed> other nodes are killed at once
+    And the fleet is at rest for 12000 ms
+    Then no node that still runs was suspected
+
+    Examples:
+      | count | killed |
+      | 16    | 4      |
+      | 70    | 17     |
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -181,6 +181,26 @@
     context.nodes[SUBJECT].adopt((1, "change"))
 
 
+@when("one node adopts a new configuration every {every:d} ms for {ms:d} ms")
+def step_adopt_configs(context: Any, every: int, ms: int) -> None:
+    for generation in range(1, ms // every + 1):
+        context.nodes[SUBJECT].adopt((generation, "change"))
+        advance(context.clock, every, STEP_MS)
+
+
+@when("{count:d} other nodes are killed at once")
+def step_kill_others(context: Any, count: int) -> None:
+    for number in range(count):
+        context.nodes[f"n{4 * number}"].kill()
+
+
+@then("no node that still runs was suspected")
+def step_no_survivor_suspected(context: Any) -> None:
+    running = {node_id for node_id, node in context.nodes.items() if node.running}
+    suspected = {node_id: context.nodes[node_id].suspected & running for node_id in running}
+    assert not any(suspected.values()), suspected
+
+
 @then("all nodes have it within {within:d} ms")
 def step_config_in_force(context: Any, within: int) -> None:
     advance(context.clock, within, STEP_MS)
