Remove the record of a node again if a write of it was on its way during the removal

Cause: a node that leaves while its registration or a correction of it takes effect late deleted its record before the write did. The record stayed in the store, and processes that start later took the node for a member.

--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -71,6 +71,7 @@
         # A stale listing, read meanwhile, has the records of nodes that registered long ago.
         listing: Deferred[bool] = ensureDeferred(self._read_peers(stale=True))  # type: ignore[arg-type]
         created = await self._store.create(self._path, self._encoded_record())
+        await self._delete_if_removed()
         listed = await listing
         if created.is_ok():
             # List after the write, so that of two nodes that start at once one sees the other.
@@ -100,13 +101,16 @@
         return True
 
     async def write(self) -> None:
-        """Write the local record, whatever the store holds."""
+        """Write the local record, whatever the store holds, unless it has been removed."""
+        if self._removed:
+            return
         written = await self._store.put(self._path, self._encoded_record())
         self._failures = 0 if written.is_ok() else self._failures + 1
+        await self._delete_if_removed()
 
     async def update(self) -> None:
-        """Write the changed local record again, if it was written before and not removed."""
-        if self._written and not self._removed:
+        """Write the changed local record again, if it was written before."""
+        if self._written:
             await self.write()
 
     async def refresh_periodically(self) -> None:
@@ -131,6 +135,12 @@
             self._removed = True
             await self._store.delete(self._path, None)
 
+    async def _delete_if_removed(self) -> None:
+        """Remove the record again after a write that was on its way during the removal."""
+        if self._removed:
+            log.info("registration_removed_again", member=self._table.local_record.node_id)
+            await self._store.delete(self._path, None)
+
     def _encoded_record(self) -> str:
         return msgspec.json.encode(self._table.local_record).decode()
 
--- a/foxtailproxy/tests/steps/registration.py
+++ b/foxtailproxy/tests/steps/registration.py
@@ -30,6 +30,7 @@
     total_price = 0.0
     rejects_writes = False
     loses_answers = False
+    record_write_ms = 0.0
 
     async def read(self, path: str, stale: bool = False) -> Any:
         """Read an object."""
@@ -44,6 +45,7 @@
     async def create(self, path: str, value: str) -> Any:
         """Create an object that must not exist yet."""
         self.total_price += 1
+        await self.clock.sleep(self.record_write_ms)
         if self.rejects_writes:
             return Error(Refused("status 429"))
         existing = self.object_by_path.get(path)
@@ -55,6 +57,7 @@
     async def put(self, path: str, value: str) -> Any:
         """Write an object regardless of its version."""
         self.total_price += 1
+        await self.clock.sleep(self.record_write_ms)
         if self.rejects_writes:
             return Error(Refused("status 429"))
         if path not in self.object_by_path:
@@ -112,6 +115,36 @@
     advance(clock, ms)
 
 
+@given("a store that holds {held} and applies the writes of a record {delay:d} ms late")
+def step_store_with_late_writes(context: Any, held: str, delay: int) -> None:
+    context.clock = fake_clock()
+    context.store = PricedStore(context.clock, random.Random(1))
+    context.store.record_write_ms = delay
+    if held == "a record of another address":
+        _store_member(context.store, "me", address=PREVIOUS_ADDRESS, boot_id="boot-before")
+
+
+@when("a node joins and leaves {after:d} ms later")
+def step_join_and_leave(context: Any, after: int) -> None:
+    clock = context.clock
+    me = make_member("me", incarnation=100)
+    table = MemberTable(clock, me, lambda record: None, lambda: None)
+    registration = Registration(clock, context.store, table, random.Random(1), lambda: True)
+    ensureDeferred(registration.join())
+    advance(clock, after)
+    ensureDeferred(registration.remove())
+
+
+@when("{delay:d} ms and some more have passed")
+def step_writes_applied(context: Any, delay: int) -> None:
+    advance(context.clock, 2 * delay + 100)
+
+
+@then("the store holds no record of the node")
+def step_no_record_stored(context: Any) -> None:
+    assert LOCAL_RECORD_PATH not in context.store.object_by_path
+
+
 @then("the store holds the node's record and the node knows all members")
 def step_record_stored_and_peers_known(context: Any) -> None:
     stored = msgspec.json.decode(
--- a/foxtailproxy/tests/store.feature
+++ b/foxtailproxy/tests/store.feature
@@ -100,3 +100,17 @@
       | loses an answer, others join late | 200  | 5.21  |
       | holds an older record             | 0    | 1.11  |
       | holds a record of another address | 0    | 2.11  |
+
+  # Otherwise processes that start later take the node that has left for a member.
+  Scenario Outline: A node that leaves while its <write> takes effect late leaves no record behind
+    Given a store that holds <held> and applies the writes of a record <delay> ms late
+    When a node joins and leaves <after> ms later
+    And <delay> ms and some more have passed
+    Then the store holds no record of the node
+
+    Examples:
+      | write        | held                        | delay | after |
+      | registration | nothing                     | 300   | 100   |
+      | correction   | a record of another address | 300   | 100   |
+      | correction   | a record of another address | 300   | 400   |
+      | registration | nothing                     | 0     | 100   |
