--- a/foxtailproxy/membership.py
+++ b/foxtailproxy/membership.py
@@ -123,11 +123,6 @@
                 del self._dead_since_ms[node_id]
                 self._remove_from_index(self.by_id.pop(node_id))
 
-    def dead_ms(self, node_id: str) -> float:
-        """Return how long a node has been dead, in ms; 0 if it is not."""
-        since_ms = self._dead_since_ms.get(node_id)
-        return 0.0 if since_ms is None else self._clock.now_ms() - since_ms
-
     def live_peers(self) -> list[MemberRecord]:
         """Return the records of all peers that are not dead."""
         return [
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -130,13 +130,7 @@
         self.peers = PeerClient(clock, reactor, limits, self.router.record_load)
         self.store = StoreClient(reactor, self.settings.platform)
         self.registration = Registration(
-            clock,
-            self.store,
-            self.table,
-            rng,
-            lambda: self.state.name == "serving",
-            lambda: self.gossip.socket.last_received_ms > 0,
-            self.settings.node.first_start,
+            clock, self.store, self.table, rng, lambda: self.state.name == "serving"
         )
         self.config_sync = ConfigSync(
             clock,
@@ -326,7 +320,7 @@
         for _ in range(CATCH_UP_ROUNDS):
             self.gossip.comparison.catch_up()
             await self.clock.sleep(CATCH_UP_PAUSE_MS)
-        await self.registration.keep_roster()
+        await self.registration.refresh_periodically()
 
     def _compare_with_seeds(self) -> None:
         for address in self.settings.peers.seeds:
@@ -378,6 +372,8 @@
         self.target.leave()
         self._gossip_local_record(state=MemberState.leaving)
         self._caller_factory.close_after_responses()
+        if not self.target.process_has_left:
+            ensureDeferred(self.registration.remove())  # type: ignore[arg-type]
         self.clock.call_later(self.settings.limits.leaving_notice_ms, self._close_when_drained)
         return self.state.closed
 
@@ -446,7 +442,7 @@
         )
         if self.target.process_has_left:
             # Stored, so that this node's next process knows of it even if all nodes restart.
-            ensureDeferred(self.registration.write_mark())  # type: ignore[arg-type]
+            ensureDeferred(self.registration.update())  # type: ignore[arg-type]
 
     def target_crashed(self, calls: list[Call]) -> None:
         """Report those of `calls` that may have crashed the upstream while it ran them."""
