Report a caller port above 65535 as a setting error, not as a traceback

Cause: since the socket for callers is opened before the settings are checked, and bind raises OverflowError for such a port. commands.feature "Running foxtailproxy node DATA/node-many-errors.ini" failed; now the settings' check reports the port, and the feature passes.

--- a/foxtailproxy/caller_socket.py
+++ b/foxtailproxy/caller_socket.py
@@ -13,6 +13,8 @@
 SETTINGS_VARIABLE = "FOXTAILPROXY_CONFIG"
 """Environment variable with the path of the settings file."""
 
+MAX_PORT = 65_535
+
 LISTEN_BACKLOG = 1024
 """Maximum number of callers that wait for a node that is starting."""
 
@@ -57,4 +59,5 @@
     host, port = node.get("address", ""), node.get("caller_port", "")
     if node.get("caller_address"):
         host, _, port = node["caller_address"].rpartition(":")
-    return (host, int(port)) if host and port.isdecimal() and int(port) else None
+    valid = host and port.isdecimal() and 0 < int(port) <= MAX_PORT
+    return (host, int(port)) if valid else None
