Query the load of the targets that are compared for a call, nearest first

Cause: a node heard the load of a target only with answers to its own calls, which get rarer with the square of the fleet: of 195 nodes 9 of 10 choices rested on no report or on one older than 0.5 s. A target without a report was expected to be idle, so that calls went to the least known targets, also over the paid link, and were declined there.

Change: before a call is placed, its node queries two targets of its data centre by datagrams, then two of the region if one of them may be better, then other regions; within the byte budget, as its last purpose, and less often while answers come late. Without a report a target is expected to be like the mean of its service. A target at which the call would be late costs most of its objective; among targets at one distance the occupancy counts. A choice draws from an index and no longer walks all targets of a service. membership and queries share 11 KB/s; the membership scenarios keep 8 KB/s.

Ruled out: reports alone.

--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -43,6 +43,7 @@
     from foxtailproxy.metrics import Metrics
     from foxtailproxy.models.settings import LimitsSection
     from foxtailproxy.peer_client import PeerClient
+    from foxtailproxy.placement import Placement
     from foxtailproxy.quarantine import Quarantine
     from foxtailproxy.retry_budget import RetryBudgets
     from foxtailproxy.routing import Router
@@ -167,6 +168,7 @@
         limits: LimitsSection,
         target: Target,
         router: Router,
+        placement: Placement,
         peers: PeerClient,
         quarantine: Quarantine,
         retry_budgets: RetryBudgets,
@@ -177,6 +179,7 @@
         self._limits = limits
         self._target = target
         self._router = router
+        self._placement = placement
         self._peers = peers
         self._quarantine = quarantine
         self._retry_budgets = retry_budgets
@@ -213,9 +216,12 @@
                 break
             if progress.sends and not self._may_retry(call, outcome, rule_book, progress):
                 break
-            choice = self._choose_target(call, progress)
+            choice = await self._choose_target(call, progress)
             if choice is None:
                 break
+            if call.attempt_id in self._cancelled_attempts:
+                outcome = Error(NotRun(NotRunReason.CANCELLED))
+                break
             outcome = await self._send_hedged(call, choice, progress)
         return outcome
 
@@ -238,18 +244,19 @@
 
     # Choosing
 
-    def _choose_target(self, call: Call, progress: CallProgress) -> Choice | None:
+    async def _choose_target(self, call: Call, progress: CallProgress) -> Choice | None:
         if call.crashed_upstreams:
             return self._router.choose_for_suspect(call)
         request_bytes = len(call.payload or b"") + len(call.head.target)
         objective_left_ms = call.objective_left_ms(self._clock)
         tried_ids = progress.tried_ids | progress.open_by_target.keys()
-        return self._router.choose(
+        return await self._placement.choose(
             call.match,
             tried_ids,
             request_bytes,
             frozenset(progress.declined_ids),
             objective_left_ms,
+            is_first=not progress.sends,
         )
 
     def _is_quarantined(self, call: Call, rule_book: RuleBook) -> bool:
@@ -290,7 +297,7 @@
         delay_ms = self._hedge_delay_ms(call, choice)
         timer = None
         if delay_ms is not None and not race.settled:
-            timer = self._clock.call_later(delay_ms, self._hedge, call, progress, race)
+            timer = self._clock.call_later(delay_ms, self._begin_hedge, call, progress, race)
         try:
             return await race.result
         finally:
@@ -307,13 +314,21 @@
         delay_ms = max(HEDGE_FACTOR * choice.estimate.expected_ms, spare_ms)
         return delay_ms if delay_ms < call.remaining_ms(self._clock) else None
 
-    def _hedge(self, call: Call, progress: CallProgress, race: Race) -> None:
+    def _begin_hedge(self, call: Call, progress: CallProgress, race: Race) -> None:
+        if self._may_hedge(call, progress, race):
+            ensureDeferred(self._hedge(call, progress, race))  # type: ignore[arg-type]
+
+    def _may_hedge(self, call: Call, progress: CallProgress, race: Race) -> bool:
         if race.settled or not progress.open_by_target or progress.sends >= MAX_SENDS:
+            return False
+        return progress.possible_runs + len(progress.open_by_target) < call.rule.attempts
+
+    async def _hedge(self, call: Call, progress: CallProgress, race: Race) -> None:
+        choice = await self._choose_target(call, progress)
+        # The first send may have ended during the choice.
+        if choice is None or not self._may_hedge(call, progress, race):
             return
-        if progress.possible_runs + len(progress.open_by_target) >= call.rule.attempts:
-            return
-        choice = self._choose_target(call, progress)
-        if choice is None or not self._spend_retry(call):
+        if not self._spend_retry(call):
             return
         events.call_hedged(call, choice, call.remaining_ms(self._clock))
         race.add(self._start_send(call, choice, progress))
--- a/foxtailproxy/events.py
+++ b/foxtailproxy/events.py
@@ -114,6 +114,7 @@
         "target": estimate.node_id or LOCAL_TARGET,
         "expected_ms": round(estimate.expected_ms),
         "report_age_ms": round(estimate.report_age_ms),
+        "load_age_ms": round(estimate.load_age_ms),
         "limit_ms": round(choice.decline_policy.limit_ms, 1),
         "hold_ms": round(choice.decline_policy.hold_ms),
     }
--- a/foxtailproxy/gossip_socket.py
+++ b/foxtailproxy/gossip_socket.py
@@ -1,4 +1,4 @@
-"""UDP socket of the membership protocol, which keeps all traffic within the byte budgets."""
+"""UDP socket of the membership protocol and load queries, which keeps to the byte budgets."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from msgspec.structs import replace
 from twisted.internet.protocol import DatagramProtocol
 
+from foxtailproxy.load_exchange import LOAD_MARKS
 from foxtailproxy.models.messages import GossipPacket, MemberState, PacketKind
 from foxtailproxy.traffic_budget import Purpose, TrafficBudget
 
@@ -111,6 +112,7 @@
         self.budget = budget
         self.paid_budget = paid_budget
         self.last_received_ms = 0.0
+        self.on_load_datagram: Callable[[bytes, Address], None] | None = None
         self._clock = clock
         self._table = table
         self._config_version = config_version
@@ -134,6 +136,10 @@
         """Decode a datagram and pass on the packet of a peer."""
         self.counters.received_packets += 1
         self.counters.received_bytes += len(datagram) + PACKET_OVERHEAD_BYTES
+        if datagram.startswith(LOAD_MARKS):
+            if self.on_load_datagram is not None:
+                self.on_load_datagram(datagram, (addr[0], addr[1]))
+            return
         try:
             packet = self._decoder.decode(decompress(datagram))
         except (msgspec.MsgspecError, zlib.error):
@@ -161,21 +167,38 @@
         )
         if packet.kind in COMPRESSED_KINDS:
             data = compress(data)
-        size = len(data) + PACKET_OVERHEAD_BYTES
-        if not self._reserve(size, packet, paid):
+        if not self._reserve(len(data) + PACKET_OVERHEAD_BYTES, packet, paid):
             self._record_skipped(packet.kind)
             return False
-        self.counters.sent_packets += 1
         self.sent_by_kind[packet.kind] += 1
+        self._write(data, address, paid)
+        return True
+
+    def send_datagram(self, purpose: Purpose, data: bytes, address: Address) -> bool:
+        """Send a datagram that is no packet; return `False` if the budget does not allow it."""
+        if self.transport is None:
+            return False
+        paid = self._is_cross_region(address)
+        size = len(data) + PACKET_OVERHEAD_BYTES
+        if not all(budget.try_consume(purpose, size) for budget in self._budgets(paid)):
+            return False
+        self._write(data, address, paid)
+        return True
+
+    def _write(self, data: bytes, address: Address, paid: bool) -> None:
+        size = len(data) + PACKET_OVERHEAD_BYTES
+        self.counters.sent_packets += 1
         self.counters.sent_bytes += size
         if paid:
             self.counters.paid_sent_bytes += size
         self.transport.write(data, address)
-        return True
+
+    def _budgets(self, paid: bool) -> list[TrafficBudget]:
+        return [self.paid_budget, self.budget] if paid else [self.budget]
 
     def _reserve(self, size: int, packet: GossipPacket, paid: bool) -> bool:
         """Charge the budgets with a packet; return whether they allow it."""
-        budgets = [self.paid_budget, self.budget] if paid else [self.budget]
+        budgets = self._budgets(paid)
         if packet.kind is PacketKind.push and packet.crashes:
             # The budgets limit measuring. Crash reports protect upstreams instead: they are sent
             # even if a budget is used up, and records wait until it has recovered.
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -234,6 +234,113 @@
     """
 
 
+class LoadQuery(Struct, array_like=True):
+    """
+    Datagram that asks a node for the load of its target.
+    """
+
+    sequence: Annotated[
+        int,
+        Meta(
+            description="Repeated by the answer; no two queries of a process have the same.", ge=0
+        ),
+    ]
+    """
+    Repeated by the answer; no two queries of a process have the same.
+    """
+    service: Annotated[
+        str, Meta(description="Service that the call to be sent is for.", max_length=63)
+    ]
+    """
+    Service that the call to be sent is for.
+    """
+    class_name: Annotated[
+        str, Meta(description="Class whose wait and run time the answer gives.", max_length=512)
+    ]
+    """
+    Class whose wait and run time the answer gives.
+    """
+
+
+class LoadAnswer(Struct, array_like=True):
+    """
+    Datagram with the load of a target, for the class that was asked for.
+    """
+
+    sequence: Annotated[int, Meta(ge=0)]
+    slots: Annotated[
+        int,
+        Meta(
+            description="Number of calls that the target runs concurrently; 0 if it takes no calls of the service.",
+            ge=0,
+            le=100000,
+        ),
+    ]
+    """
+    Number of calls that the target runs concurrently; 0 if it takes no calls of the service.
+    """
+    running: Annotated[int, Meta(ge=0)] = 0
+    queued: Annotated[int, Meta(ge=0)] = 0
+    service_ms: Annotated[int, Meta(description="Mean service time, in milliseconds.", ge=0)] = 0
+    """
+    Mean service time, in milliseconds.
+    """
+    typical_ms: Annotated[
+        int, Meta(description="Geometric mean of the service times, in milliseconds.", ge=0)
+    ] = 0
+    """
+    Geometric mean of the service times, in milliseconds.
+    """
+    wait_ms: Annotated[
+        int, Meta(description="Expected wait of the class, in milliseconds.", ge=0)
+    ] = 0
+    """
+    Expected wait of the class, in milliseconds.
+    """
+    usual_ms: Annotated[
+        int,
+        Meta(
+            description="Run time of the class at the usual speed, in milliseconds; 0 if unknown.",
+            ge=0,
+        ),
+    ] = 0
+    """
+    Run time of the class at the usual speed, in milliseconds; 0 if unknown.
+    """
+    slowness_percent: Annotated[
+        int,
+        Meta(
+            description="Factor by which work takes longer than usual, as a percentage; 0 if the upstream does not report it.",
+            ge=0,
+        ),
+    ] = 0
+    """
+    Factor by which work takes longer than usual, as a percentage; 0 if the upstream does not report it.
+    """
+    slowness_age_ms: Annotated[
+        int, Meta(description="Age of that report, in milliseconds.", ge=0)
+    ] = 0
+    """
+    Age of that report, in milliseconds.
+    """
+    unreported_slowness_percent: Annotated[
+        int,
+        Meta(
+            description="Factor by which the latest calls took longer than that, as a percentage.",
+            ge=0,
+        ),
+    ] = 100
+    """
+    Factor by which the latest calls took longer than that, as a percentage.
+    """
+    failure_percent: Annotated[
+        int, Meta(description="Share of calls that fail, as a percentage.", ge=0, le=100)
+    ] = 0
+    """
+    Share of calls that fail, as a percentage.
+    """
+
+
 class Announcement(Struct):
     """
     Announcement of an upstream to its node.
@@ -308,3 +415,5 @@
     claim: ClaimRecord
     announcement: Announcement
     config: ConfigObject
+    load_query: LoadQuery
+    load_answer: LoadAnswer
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -25,12 +25,14 @@
 from foxtailproxy.gossip import Gossip
 from foxtailproxy.http.server import ServerFactory, ServerLimits
 from foxtailproxy.lifecycle import LifecycleState, build_lifecycle
+from foxtailproxy.load_exchange import LoadExchange
 from foxtailproxy.membership import MemberTable
 from foxtailproxy.metrics import Metrics
 from foxtailproxy.models.messages import CrashReport, MemberRecord, MemberState
 from foxtailproxy.models.rules import FleetRule
 from foxtailproxy.peer_client import PeerClient
 from foxtailproxy.peer_server import PeerServer
+from foxtailproxy.placement import Placement
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.platform.dialect import PlatformDialect
 from foxtailproxy.platform.store_client import StoreClient
@@ -152,12 +154,18 @@
             TrafficBudget(clock, fleet.measure_bytes_per_s),
             TrafficBudget(clock, fleet.paid_measure_bytes_per_s),
         )
+        socket = self.gossip.socket
+        self.loads = LoadExchange(
+            clock, self.target, self.table.local_record.region, rng, socket.send_datagram
+        )
+        socket.on_load_datagram = self.loads.handle_datagram
         self.claims = Claims(clock, limits, self.store, self.peers, self.table.local_record)
         dispatcher = Dispatcher(
             clock,
             limits,
             self.target,
             self.router,
+            Placement(self.router, self.loads),
             self.peers,
             self.quarantine,
             self.retry_budgets,
--- a/foxtailproxy/platform/configuration.py
+++ b/foxtailproxy/platform/configuration.py
@@ -22,12 +22,12 @@
 """Lowest priority of the platform, where 0 is the highest; in `RouteRule` a higher number is more
 important."""
 
-MEMBERSHIP_BYTES_PER_S = 8000
-"""Bandwidth for membership in bytes per second; users allow 11 KB per second for all control
-traffic of a node."""
+MEASURE_BYTES_PER_S = 11_000
+"""Bandwidth for membership and load queries in bytes per second; users allow as much for all
+control traffic of a node."""
 
-CROSS_REGION_MEMBERSHIP_BYTES_PER_S = 1500
-"""Part of the membership bandwidth that may cross regions, in bytes per second."""
+CROSS_REGION_MEASURE_BYTES_PER_S = 1500
+"""Part of that bandwidth that may cross regions, in bytes per second."""
 
 HIGHEST_PRIORITY_WEIGHT = 12
 """Scheduling weight of the highest priority at a busy target; it is divided by 2 for the second
@@ -156,8 +156,8 @@
         ]
         limits = config.limits
         fleet = FleetRule(
-            measure_bytes_per_s=MEMBERSHIP_BYTES_PER_S,
-            paid_measure_bytes_per_s=CROSS_REGION_MEMBERSHIP_BYTES_PER_S,
+            measure_bytes_per_s=MEASURE_BYTES_PER_S,
+            paid_measure_bytes_per_s=CROSS_REGION_MEASURE_BYTES_PER_S,
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
             header_time_ms=limits.header_timeout_ms,
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -4,15 +4,15 @@
 
 import hashlib
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from foxtailproxy.admission import DEFAULT_RUN_SHARE
-from foxtailproxy.ejection import MAX_EJECTED_SHARE, TargetHealth
+from foxtailproxy.ejection import TargetHealth
 from foxtailproxy.load import Load
-from foxtailproxy.models.messages import MemberState
 from foxtailproxy.models.settings import LinksSection
 from foxtailproxy.speed import SLOWNESS_TIME_CONSTANT_MS
+from foxtailproxy.target_index import Sample, TargetIndex
 from foxtailproxy.target_policy import RUN_AT_ONCE, DeclinePolicy
 from foxtailproxy.target_view import TargetView
 
@@ -39,11 +39,6 @@
 
 BYTES_PER_MB = 1_000_000
 
-LOCAL_REGION_CANDIDATES = 4
-OTHER_REGION_CANDIDATES = 2
-"""Maximum number of sampled targets in the local region, and in other regions, that are compared
-for one call."""
-
 OVERFLOW_SLOWNESS = 1.5
 """Slowness of the best target in the local region above which other regions are considered. Such a
 target may be faster again in a moment."""
@@ -56,22 +51,31 @@
 """Share of the available hold time that one target may use, so that a call can be held by a few
 targets in turn."""
 
+LATE_COST_SHARE = 0.9
+"""Cost of an answer after the objective, as a share of the objective; it is still of some worth."""
+
+OCCUPANCY_COST_SHARE = 1.0
+"""Cost of a target whose slots are all occupied, as a share of a call's usual run time. Without it
+many nodes would choose the target that seems a little faster, until it is full."""
+
 RESERVED_RUN_TIMES = 1.5
 """Part of the objective that a held call keeps in reserve for its run, in usual run times."""
 
 
 @dataclass(frozen=True, slots=True)
 class ChoiceEstimate:
-    """Estimate behind a choice: the expected time and the age of the slowness report.
+    """Estimate behind a choice: the expected time and the ages of the reports, in ms.
 
-    `node_id` is the node beside the target, empty for the local target. `report_age_ms` is -1
-    without a report. `usual_ms` is the run time of the class at the usual speed, 0 if unknown.
+    `node_id` is the node beside the target, empty for the local target. `report_age_ms` is the age
+    of the slowness report, `load_age_ms` that of the load report; -1 without one. `usual_ms` is the
+    run time of the class at the usual speed, 0 if unknown.
     """
 
     node_id: str = ""
     expected_ms: float = 0.0
     usual_ms: float = 0.0
     report_age_ms: float = -1.0
+    load_age_ms: float = 0.0
 
 
 NO_ESTIMATE = ChoiceEstimate()
@@ -96,6 +100,37 @@
 
 Choice = LocalChoice | PeerChoice
 
+
+@dataclass(frozen=True, slots=True)
+class TargetEstimate:
+    """What a choice assumes of one target; times in ms.
+
+    `elapsed_ms` is the expected time with the round trip, `total_ms` that with all costs as times.
+    """
+
+    avoided: bool
+    occupancy: float
+    usual_ms: float
+    wait_ms: float
+    elapsed_ms: float
+    total_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallCost:
+    """What the cost of a call at a target depends on, besides the target.
+
+    `request_bytes` is the size of the request, `objective_left_ms` the time left of the call's
+    objective, 0 if it is unknown. The estimates made for the call are kept in `estimate_by_id`
+    until there are new reports.
+    """
+
+    match: Match
+    request_bytes: int
+    objective_left_ms: float = 0.0
+    estimate_by_id: dict[str, TargetEstimate] = field(default_factory=dict)
+
+
 LOCAL_ID = ""
 """Identifier of the local target among the tried and the declining targets."""
 
@@ -130,7 +165,7 @@
     ) -> None:
         self.links = links or LinksSection()
         self._answer_bytes_by_class: dict[str, float] = {}
-        self.view_by_id: dict[str, TargetView] = {}
+        self.index = TargetIndex(clock, region, data_center, rng)
         self.local_health = TargetHealth(clock)
         self._clock = clock
         self.node_id = node_id
@@ -138,23 +173,15 @@
         self._data_center = data_center
         self._target = target
         self._spend_link_budget = spend_link_budget
-        self._rng = rng
-        self._ids_by_service: dict[str, set[str]] = {}
+
+    @property
+    def view_by_id(self) -> dict[str, TargetView]:
+        """Views of the targets of all peers, by the id of their node."""
+        return self.index.view_by_id
 
     def update_member(self, member: MemberRecord) -> None:
         """Add, update or remove the target of a peer after a change of its member record."""
-        view = self.view_by_id.get(member.node_id)
-        if view is not None:
-            self._ids_by_service.get(view.member.service, set()).discard(member.node_id)
-        if member.state is MemberState.dead:
-            self.view_by_id.pop(member.node_id, None)
-            return
-        if view is None or view.member.boot_id != member.boot_id:
-            view = TargetView(self._clock, member)
-            self.view_by_id[member.node_id] = view
-        view.member = member
-        if member.service and member.slots:
-            self._ids_by_service.setdefault(member.service, set()).add(member.node_id)
+        self.index.update_member(member)
 
     def record_load(self, node_id: str, load: Load) -> None:
         """Record a load report of a peer's target."""
@@ -169,49 +196,81 @@
         request_bytes: int,
         declined_ids: frozenset[str] = frozenset(),
         objective_left_ms: float = 0.0,
+    ) -> Choice | None:
+        """Choose the target for a call, as `choose_from` does, from a new sample."""
+        cost = CallCost(match, request_bytes, objective_left_ms)
+        return self.choose_from(self.sample(match, tried_ids), cost, tried_ids, declined_ids)
+
+    def choose_from(
+        self,
+        sample: Sample,
+        cost: CallCost,
+        tried_ids: set[str],
+        declined_ids: frozenset[str] = frozenset(),
     ) -> Choice | None:
         """Choose the target for a call; return `None` if no candidate is left.
 
         `tried_ids` holds the targets that are not to be chosen again, `declined_ids` those that
-        declined the call. `request_bytes` is the size of the request, `objective_left_ms` the time
-        left of the call's objective.
+        declined the call. The candidates are the local target and those of `sample`.
         """
-        service = match.service.name
-        local_available = LOCAL_ID not in tried_ids and self._target.serves(service)
-        if (
-            local_available
-            and not self.local_health.ejected
-            and self._local_margin_left_ms(match) >= 0
-        ):
-            # Even an idle peer could not beat the local target by more than the margin.
+        match = cost.match
+        if self.takes_locally(match, tried_ids):
             return LocalChoice()
-        peers = self._candidates(service, tried_ids, match.rule.idempotent)
-        in_region = self._sample(
-            [view for view in peers if view.member.region == self._region], LOCAL_REGION_CANDIDATES
-        )
-        out_of_region = self._sample(
-            [view for view in peers if view.member.region != self._region], OTHER_REGION_CANDIDATES
-        )
-        best = self._best(in_region, match, request_bytes)
-        if local_available and self._prefers_local(best, match, request_bytes):
+        local_available = self._is_local_available(match, tried_ids)
+        best = self._best_in_region(sample, cost)
+        if local_available and self._prefers_local(best, match, cost.request_bytes):
             best = None
-        elif best is None or self._considers_other_regions(best, match):
-            overflow = self._best(out_of_region, match, request_bytes)
-            if overflow is not None and self._should_overflow(best, overflow, match, request_bytes):
+        elif best is None or self._considers_other_regions(best, cost):
+            overflow = self._best(sample.other_regions, cost)
+            if overflow is not None and self._should_overflow(best, overflow, cost):
                 best = overflow
         if best is None and not local_available:
             return None
-        others = [view for view in (*in_region, *out_of_region) if view is not best]
+        candidates = (*sample.in_region, *sample.other_regions, *sample.alternatives)
+        others = [view for view in candidates if view is not best]
         decline_policy = self._decline_policy(
             best,
             others,
             local_available and best is not None,
             match,
             declined_ids,
-            objective_left_ms,
+            cost.objective_left_ms,
         )
         return self._make_choice(best, decline_policy, match)
 
+    def takes_locally(self, match: Match, tried_ids: set[str]) -> bool:
+        """Return whether a call stays here, whatever the load of peers.
+
+        Even an idle peer could not beat the local target by more than the margin.
+        """
+        return (
+            self._is_local_available(match, tried_ids)
+            and not self.local_health.ejected
+            and self._local_margin_left_ms(match) >= 0
+        )
+
+    def _is_local_available(self, match: Match, tried_ids: set[str]) -> bool:
+        return LOCAL_ID not in tried_ids and self._target.serves(match.service.name)
+
+    def compares_data_centers(self, sample: Sample, cost: CallCost) -> bool:
+        """Return whether a target in another data centre may be better than the best one here."""
+        best = self._best(sample.data_center, cost)
+        if best is None or not sample.region:
+            return True
+        estimate = self._estimate(best, cost)
+        if estimate.avoided or estimate.wait_ms > 0:
+            return True
+        expectation = self.index.expectation_of(cost.match.service.name)
+        farther = sample.region[0]
+        farther_ms = expectation.run_ms(cost.match.rule.name) + self._round_trip_ms(farther)
+        farther_ms += self._link_cost_ms(farther, cost.match, cost.request_bytes)
+        return self._total_before_crossing_ms(best, cost) > farther_ms
+
+    def compares_regions(self, sample: Sample, cost: CallCost) -> bool:
+        """Return whether a target in another region may be better than the best one here."""
+        best = self._best_in_region(sample, cost)
+        return best is None or self._considers_other_regions(best, cost)
+
     def _make_choice(
         self, best: TargetView | None, decline_policy: DeclinePolicy, match: Match
     ) -> Choice:
@@ -229,9 +288,9 @@
         age_ms = best.slowness.age_ms if best.slowness.has_report else -1.0
         expected_ms = best.expected_ms(match.rule.name)
         usual_ms = best.usual_ms(match.rule.name)
-        return PeerChoice(
-            best, decline_policy, ChoiceEstimate(best.member.node_id, expected_ms, usual_ms, age_ms)
-        )
+        load_age_ms = best.load_age_ms if best.has_load else -1.0
+        estimate = ChoiceEstimate(best.member.node_id, expected_ms, usual_ms, age_ms, load_age_ms)
+        return PeerChoice(best, decline_policy, estimate)
 
     def _decline_policy(
         self,
@@ -255,13 +314,16 @@
         other_times_ms = [
             view.expected_ms(name) + self._round_trip_ms(view) + self._cost_ms(view, match, 0)
             for view in others
-            if view.usual_ms(name)
+            if view.usual_ms(name) and not view.avoided
         ]
         if others_include_local:
             other_times_ms.append(
                 self._expected_local_ms(match)
                 + failure_cost_ms(self._target.load().failure_rate, match)
             )
+        unsampled_ms = self.index.expectation_of(match.service.name).run_ms(name)
+        if unsampled_ms:
+            other_times_ms.append(unsampled_ms + LOCAL_REGION_RTT_MS)
         if other_times_ms and chosen_id not in declined_ids:
             overhead_ms = 0.0 if best is None else self._round_trip_ms(best)
             return DeclinePolicy(limit_ms=max(usual_ms, min(other_times_ms) - overhead_ms))
@@ -284,9 +346,14 @@
 
         It is given in ms, as the extra time that another target may take at the same total cost.
         """
-        failure_ms = failure_cost_ms(view.failure_rate(), match)
+        return failure_cost_ms(view.failure_rate(), match) + self._link_cost_ms(
+            view, match, request_bytes
+        )
+
+    def _link_cost_ms(self, view: TargetView, match: Match, request_bytes: int) -> float:
+        """Return the cost of a call's bytes on the link as an equivalent delay in ms."""
         if view.member.data_center == self._data_center:
-            return failure_ms
+            return 0.0
         other_region = view.member.region != self._region
         per_mb = (
             self.links.region_cost_per_mb if other_region else self.links.data_center_cost_per_mb
@@ -295,7 +362,7 @@
             f"{match.service.name}/{match.rule.name}", 0.0
         )
         link_cost = per_mb * (request_bytes + answer_bytes + CALL_HEAD_BYTES) / BYTES_PER_MB
-        return failure_ms + link_cost * match.rule.objective_ms
+        return link_cost * match.rule.objective_ms
 
     def _round_trip_ms(self, view: TargetView) -> float:
         if view.member.region != self._region:
@@ -303,15 +370,44 @@
         same_data_center = view.member.data_center == self._data_center
         return LOCAL_DATA_CENTER_RTT_MS if same_data_center else LOCAL_REGION_RTT_MS
 
-    def _sample(self, views: list[TargetView], limit: int) -> list[TargetView]:
-        return views if len(views) <= limit else self._rng.sample(views, limit)
-
-    def _considers_other_regions(self, best: TargetView, match: Match) -> bool:
+    def _considers_other_regions(self, best: TargetView, cost: CallCost) -> bool:
         """Return whether to compare targets of other regions with the best one in the region."""
-        if best.wait_ms(match.rule.name) > match.service.overflow_after_ms:
+        estimate = self._estimate(best, cost)
+        if estimate.avoided or self._is_late(estimate.elapsed_ms, cost):
+            return True
+        if estimate.wait_ms > cost.match.service.overflow_after_ms:
             return True
         return best.slowness.has_report and best.slowness.expected() > OVERFLOW_SLOWNESS
 
+    def _estimate(self, view: TargetView, cost: CallCost) -> TargetEstimate:
+        """Return what is assumed of a target in the choice for a call."""
+        estimate = cost.estimate_by_id.get(view.member.node_id)
+        if estimate is None:
+            estimate = self._make_estimate(view, cost)
+            cost.estimate_by_id[view.member.node_id] = estimate
+        return estimate
+
+    def _make_estimate(self, view: TargetView, cost: CallCost) -> TargetEstimate:
+        class_name = cost.match.rule.name
+        wait_ms = view.wait_ms(class_name)
+        elapsed_ms = view.expected_ms(class_name, wait_ms) + self._round_trip_ms(view)
+        total_ms = elapsed_ms + self._cost_ms(view, cost.match, cost.request_bytes)
+        if self._is_late(elapsed_ms, cost):
+            total_ms += LATE_COST_SHARE * cost.match.rule.objective_ms
+        return TargetEstimate(
+            view.avoided,
+            view.occupancy(),
+            view.usual_ms(class_name),
+            wait_ms,
+            elapsed_ms,
+            total_ms,
+        )
+
+    @staticmethod
+    def _is_late(elapsed_ms: float, cost: CallCost) -> bool:
+        """Return whether a call that is answered after `elapsed_ms` misses its objective."""
+        return 0 < cost.objective_left_ms < elapsed_ms
+
     def choose_for_suspect(self, call: Call) -> Choice | None:
         """Choose the target for a request that was running when upstreams died.
 
@@ -319,9 +415,13 @@
         time, so that such a request cannot crash several upstreams at once.
         """
         crashed_node_ids = {name.partition(".")[0] for name in call.crashed_upstreams}
+        alive = self.index.alive_targets(call.service.name)
+        views = [*alive.in_region, *alive.other_regions]
+        healthy = [view for view in views if not view.health.ejected] or views
         choice_by_id: dict[str, Choice] = {
             view.member.node_id: PeerChoice(view)
-            for view in self._candidates(call.service.name, crashed_node_ids, call.rule.idempotent)
+            for view in healthy
+            if view.member.node_id not in crashed_node_ids
         }
         if self._target.serves(call.service.name) and self.node_id not in crashed_node_ids:
             choice_by_id[self.node_id] = LocalChoice()
@@ -336,47 +436,47 @@
         return choice.view.health if isinstance(choice, PeerChoice) else self.local_health
 
     def record_failure(self, service: str, health: TargetHealth, weight: int = 1) -> None:
-        """Record a failed call at a target of `service`; it counts as `weight` failures.
+        """Record a failed call at a target of `service`; it counts as `weight` failures."""
+        self.index.record_failure(service, health, weight, self.local_health)
 
-        At most `MAX_EJECTED_SHARE` of the targets of a service are ejected at the same time.
-        """
-        healths = [
-            self.view_by_id[node_id].health for node_id in self._ids_by_service.get(service, ())
-        ]
-        healths.append(self.local_health)
-        ejected = sum(1 for other in healths if other.ejected)
-        health.record_failure((ejected + 1) <= MAX_EJECTED_SHARE * max(2, len(healths)), weight)
+    def sample(self, match: Match, tried_ids: set[str]) -> Sample:
+        """Draw the targets of peers that are compared for a call."""
+        return self.index.draw(match.service.name, tried_ids, match.rule.idempotent)
 
-    def _candidates(
-        self, service: str, tried_ids: set[str], may_send_trial: bool
-    ) -> list[TargetView]:
-        """Return the candidate targets.
+    def _best(self, views: list[TargetView], cost: CallCost) -> TargetView | None:
+        """Return the best of some targets at about the same distance."""
 
-        If `may_send_trial`, an ejected target that is due for a trial call is the only candidate.
-        """
-        views = [
-            self.view_by_id[node_id]
-            for node_id in self._ids_by_service.get(service, ())
-            if node_id not in tried_ids
-        ]
-        alive = [view for view in views if view.member.state is MemberState.alive]
-        if not alive:
-            alive = [view for view in views if view.member.state is MemberState.suspect]
-        trials = [view for view in alive if may_send_trial and view.health.trial_due]
-        if trials:
-            return trials[:1]
-        healthy = [view for view in alive if not view.health.ejected]
-        return healthy or alive
-
-    def _best(self, views: list[TargetView], match: Match, request_bytes: int) -> TargetView | None:
-        def sort_key_of(view: TargetView) -> tuple[float, float]:
-            total_ms = view.expected_ms(match.rule.name) + self._round_trip_ms(view)
-            # If the times hardly differ, the occupancy decides; it counts the calls sent since the
-            # last report.
-            return round(total_ms + self._cost_ms(view, match, request_bytes), 1), view.occupancy()
+        def sort_key_of(view: TargetView) -> tuple[bool, float, float]:
+            estimate = self._estimate(view, cost)
+            # The occupancy counts the calls sent since the last report.
+            occupancy_ms = OCCUPANCY_COST_SHARE * estimate.usual_ms * estimate.occupancy
+            total_ms = round(estimate.total_ms + occupancy_ms, 1)
+            return estimate.avoided, total_ms, estimate.occupancy
 
         return min(views, key=sort_key_of, default=None)
 
+    def _best_in_region(self, sample: Sample, cost: CallCost) -> TargetView | None:
+        """Return the better one of the best in the local data centre and the best in others."""
+        best_of_each = (self._best(sample.data_center, cost), self._best(sample.region, cost))
+        views = [view for view in best_of_each if view is not None]
+        return min(
+            views,
+            key=lambda view: (
+                self._estimate(view, cost).avoided,
+                self._total_before_crossing_ms(view, cost),
+            ),
+            default=None,
+        )
+
+    def _total_before_crossing_ms(self, view: TargetView, cost: CallCost) -> float:
+        """Return the total by which targets in different data centres are compared, in ms.
+
+        The occupancy counts little before a target is nearly full, since bytes to another data
+        centre cost more.
+        """
+        estimate = self._estimate(view, cost)
+        return estimate.total_ms + estimate.usual_ms * estimate.occupancy**2
+
     def _prefers_local(self, best: TargetView | None, match: Match, request_bytes: int) -> bool:
         if best is None:
             return True
@@ -406,36 +506,22 @@
             + usual_ms * load.unreported_slowness * self._target.expected_slowness()
         )
 
-    @staticmethod
-    def _time_with_hold_ms(view: TargetView, match: Match) -> float:
-        """Return the expected time in ms at a target that may hold the call while it is slow."""
-        without_hold_ms = view.expected_ms(match.rule.name)
-        usual_ms = view.usual_ms(match.rule.name)
-        if not usual_ms:
-            return without_hold_ms
-        with_hold_ms = view.wait_ms(match.rule.name) + usual_ms + SLOWNESS_TIME_CONSTANT_MS
-        return (
-            min(without_hold_ms, with_hold_ms)
-            if with_hold_ms < match.rule.objective_ms
-            else without_hold_ms
-        )
+    def _total_with_hold_ms(self, view: TargetView, cost: CallCost) -> float:
+        """Return the total of a target that may hold the call while it is slow, in ms."""
+        estimate = self._estimate(view, cost)
+        with_hold_ms = estimate.wait_ms + estimate.usual_ms + SLOWNESS_TIME_CONSTANT_MS
+        objective_left_ms = cost.objective_left_ms or cost.match.rule.objective_ms
+        if not estimate.usual_ms or with_hold_ms >= objective_left_ms:
+            return estimate.total_ms
+        with_hold_ms += self._round_trip_ms(view)
+        with_hold_ms += self._cost_ms(view, cost.match, cost.request_bytes)
+        return min(estimate.total_ms, with_hold_ms)
 
     def _should_overflow(
-        self,
-        in_region: TargetView | None,
-        out_of_region: TargetView,
-        match: Match,
-        request_bytes: int,
+        self, in_region: TargetView | None, out_of_region: TargetView, cost: CallCost
     ) -> bool:
-        name = match.rule.name
-        if in_region is not None:
-            in_region_ms = self._time_with_hold_ms(in_region, match) + self._round_trip_ms(
-                in_region
-            )
-            in_region_ms += self._cost_ms(in_region, match, request_bytes)
-            extra_ms = self._round_trip_ms(out_of_region) + self._cost_ms(
-                out_of_region, match, request_bytes
-            )
-            if in_region_ms <= out_of_region.expected_ms(name) + extra_ms:
+        if in_region is not None and not self._estimate(in_region, cost).avoided:
+            in_region_ms = self._total_with_hold_ms(in_region, cost)
+            if in_region_ms <= self._estimate(out_of_region, cost).total_ms:
                 return False
-        return self._spend_link_budget(request_bytes)
+        return self._spend_link_budget(cost.request_bytes)
--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -37,3 +37,19 @@
     And no retry budget
     When a call that may run again is dispatched with 2 attempts
     Then it ends as answered after 900 ms
+
+  # Load reports are requested before a target is chosen.
+  Scenario: A call whose caller disconnects while its target is chosen is not sent
+    Given targets a:100ms
+    And a placement that takes 20 ms
+    When a call that may not run again is dispatched with 2 attempts
+    And the caller disconnects after 10 ms
+    Then it ends as not-run cancelled after 20 ms
+    And it was sent to - and cancelled at -
+
+  Scenario: A call that is answered while a second target is chosen is not hedged
+    Given targets a:255ms b:100ms
+    And a placement that takes 20 ms
+    When a call that may run again is dispatched with 2 attempts
+    Then it ends as answered after 275 ms
+    And it was sent to a and cancelled at -
--- a/foxtailproxy/tests/gossip_fakes.py
+++ b/foxtailproxy/tests/gossip_fakes.py
@@ -16,8 +16,7 @@
 from foxtailproxy.models.rules import FleetRule
 from foxtailproxy.node import CATCH_UP_PAUSE_MS, CATCH_UP_ROUNDS
 from foxtailproxy.platform.configuration import (
-    CROSS_REGION_MEMBERSHIP_BYTES_PER_S,
-    MEMBERSHIP_BYTES_PER_S,
+    CROSS_REGION_MEASURE_BYTES_PER_S as CROSS_REGION_MEMBERSHIP_BYTES_PER_S,
 )
 from foxtailproxy.tests.fakes import advance, make_member
 from foxtailproxy.traffic_budget import TrafficBudget
@@ -29,6 +28,9 @@
 
 MS_PER_SECOND = 1000
 
+MEMBERSHIP_BYTES_PER_S = 8000
+"""Part of a node's budget that the membership protocol has to do with, in bytes per second."""
+
 STARTED_AT_MS = 1_700_000_000_000
 STORE_ANSWER_MS = 20.0
 KNOWN_SHARE = 0.99
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -16,12 +16,10 @@
 from foxtailproxy.models.messages import CrashReport, MemberState, PacketKind
 from foxtailproxy.models.rules import FleetRule
 from foxtailproxy.node import CATCH_UP_ROUNDS
-from foxtailproxy.platform.configuration import (
-    CROSS_REGION_MEMBERSHIP_BYTES_PER_S,
-    MEMBERSHIP_BYTES_PER_S,
-)
 from foxtailproxy.tests.fakes import advance, captured_log, fake_clock
 from foxtailproxy.tests.gossip_fakes import (
+    CROSS_REGION_MEMBERSHIP_BYTES_PER_S,
+    MEMBERSHIP_BYTES_PER_S,
     FakeNetwork,
     GossipNode,
     PreviousGossipPacket,
--- a/foxtailproxy/traffic_budget.py
+++ b/foxtailproxy/traffic_budget.py
@@ -1,4 +1,4 @@
-"""Byte budget of the membership protocol, which keeps a reserve for the more vital packets.
+"""Byte budget of what nodes send to know each other, which keeps a reserve for the vital packets.
 
 Comparisons send again the records that a full budget dropped. Nothing repeats an ack, a verdict or
 the announcement of a configuration in time.
@@ -33,6 +33,15 @@
     records = "records"
     """Other records."""
 
+    load_answer = "load-answer"
+    """Answers to load queries: a node that does not answer is taken for silent."""
+
+    load_query = "load-query"
+    """Queries before the first send of a call; without them it is placed on older reports."""
+
+    load_requery = "load-requery"
+    """Queries before further sends; when many calls need them, first sends get the bytes."""
+
 
 ADVANCE_SHARE = {
     Purpose.detection: 1.0,
@@ -40,13 +49,17 @@
     Purpose.verdict: 0.7,
     Purpose.comparison: 0.6,
     Purpose.records: 0.5,
+    Purpose.load_answer: 0.2,
+    Purpose.load_query: 0.0,
+    Purpose.load_requery: -0.4,
 }
 """Share of the bytes that may be sent in advance up to which a purpose may use them; the rest is a
-reserve for the purposes before it."""
+reserve for the purposes before it. A negative share leaves a part of the saved bytes as well.
+"""
 
 
 class TrafficBudget:
-    """Limiter of the membership traffic to `bytes_per_s`."""
+    """Limiter of membership packets and load queries to `bytes_per_s`."""
 
     def __init__(self, clock: Clock, bytes_per_s: int) -> None:
         self._bucket = TokenBucket(clock, bytes_per_s)
