--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -20,6 +20,7 @@
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.events: list[tuple[int, str, dict[str, Any], bool]] = []
         self.open_watches: Counter[str] = Counter()
+        self.down = False
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
 
@@ -56,6 +57,8 @@
             writer.close()
 
     async def _handle(self, request: Message) -> tuple[int, Any]:
+        if self.down:
+            return 503, {}
         url = urlsplit(request.start[1])
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         parts = [unquote(part) for part in url.path.strip("/").split("/")]
--- a/review/lib/target.py
+++ b/review/lib/target.py
@@ -86,6 +86,9 @@
             await asyncio.sleep(BEAT_S)
 
     async def _beat(self, address: tuple[str, int], control: tuple[str, int]) -> None:
+        await self._call_node("PUT", self._next_beat(address), control)
+
+    def _next_beat(self, address: tuple[str, int]) -> bytes:
         self.sequence += 1
         beat = {
             "service": self.service,
@@ -98,7 +101,14 @@
             "sequence": self.sequence,
             "born": self.born_ms,
         }
-        await self._call_node("PUT", json.dumps(beat).encode(), control)
+        return json.dumps(beat).encode()
+
+    async def send_late_beat(self, control: tuple[str, int], late_s: float) -> None:
+        """Send a heartbeat that arrives `late_s` after it was sent."""
+        body = self._next_beat(self._address)
+        await asyncio.sleep(late_s)
+        await self._call_node("PUT", body, control)
+        self.record.add("a heartbeat arrives late", self.instance, f"{late_s} s")
 
     async def _call_node(self, method: str, body: bytes, control: tuple[str, int]) -> None:
         try:
