--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -27,7 +27,7 @@
     APP_PORT, CONTROL_PORT, OUTBOUND_PORT, PEER_PORT, READY_PORT, STORE_PORT, ADMIN_PORT,
 )  # fmt: skip
 
-USED_NUMBERS = (1, *range(11, 20))
+USED_NUMBERS = (1, *range(11, 28))
 """Last numbers of the loopback addresses of a run: the store, then the machines."""
 
 
