Send the rejection of an invalid request after the responses to earlier ones

Cause: a connection that rejects a request itself (late or large head, malformed bytes, large body) wrote the response in the place of the first open exchange, whichever that was. The head was late because the header timeout ran while the process was suspended: the reactor runs its timers before it reads from its sockets. Ruled out: target, store and recovery of connections; the target's answer had arrived.

Change: the rejection is an exchange of its own behind the others, after which the connection closes. A timeout takes effect with the second check that finds it passed, so that what has arrived is read first. A malformed or too large chunk of a request that its handler has begun to run is answered with the outcome "unknown" instead of "not-run". Each rejection is logged as request_invalid.

--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -6,7 +6,7 @@
 
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
-from foxtailproxy.http.errors import ConnectionLost, HttpError
+from foxtailproxy.http.errors import BodyTooLarge, ConnectionLost, HttpError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +15,8 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+TOO_LARGE_STATUS = 413
+
 
 class ServerExchange:
     """Request of a client and the response to it."""
@@ -55,7 +57,11 @@
         """Send the final response, or queue it until all earlier responses are sent."""
         if self.response_started or self.aborted or self._queued_response is not None:
             body.attach(DiscardSink())
-        elif self._connection.is_next_to_respond(self):
+        else:
+            self._send_in_turn(head, body)
+
+    def _send_in_turn(self, head: messages.ResponseHead, body: BodyStream) -> None:
+        if self._connection.is_next_to_respond(self):
             self._send(head, body)
         else:
             self._queued_response = (head, body)
@@ -133,11 +139,25 @@
         """Abort the connection, so that the client can tell that the response is incomplete."""
         self.abort()
 
-    def reject(self) -> None:
-        """Mark the exchange as aborted: the connection itself responds to the invalid request."""
+    def reject(self, status: int, reason: str) -> None:
+        """Respond to an invalid request in place of its handler, after all earlier responses."""
+        outcome = "not-run" if self.on_aborted is None else "unknown"
         self.aborted = True
+        self.keep_alive = False
+        self.serving = True
         if self.on_aborted is not None:
             self.on_aborted()
+        self.body.fail(BodyTooLarge() if status == TOO_LARGE_STATUS else ConnectionLost())
+        head = messages.ResponseHead(
+            status,
+            messages.reason_phrase(status),
+            [
+                (b"content-type", b"application/json"),
+                (b"foxtail-outcome", f"{outcome}; reason={reason}".encode()),
+            ],
+        )
+        text = f'{{"outcome":"{outcome}","reason":"{reason}"}}\n'
+        self._send_in_turn(head, BodyStream.from_bytes(text.encode()))
 
     def abort(self) -> None:
         """Abort the connection."""
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -15,7 +15,6 @@
 
 from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http import messages
-from foxtailproxy.http.errors import BodyTooLarge, ConnectionLost
 from foxtailproxy.http.exchange import ServerExchange
 from foxtailproxy.http.transport import write_now
 
@@ -33,6 +32,10 @@
 """Interval between checks for client timeouts, in milliseconds."""
 
 
+INCOMPLETE_HEAD = messages.RequestHead(b"", b"", [])
+"""Head of a request that was rejected before its own head was complete and valid."""
+
+
 @dataclass(slots=True)
 class ServerLimits:
     """Limits of one connection; sizes in bytes, times in milliseconds."""
@@ -56,8 +59,9 @@
 class ServerConnection(Protocol):
     """Connection of one client.
 
-    Responses are sent in the order of the requests. A pipelined request for which `may_overlap`
-    is true is served concurrently with the earlier ones, if all of those are being served.
+    Responses are sent in the order of the requests, also the one that rejects an invalid request. A
+    pipelined request for which `may_overlap` is true is served concurrently with the earlier ones,
+    if all of those are being served.
     """
 
     transport: Any = None
@@ -83,6 +87,8 @@
         self._head_size = 0
         self._in_head = False
         self._timeout_at_ms = 0.0
+        self._timeout_passed = False
+        self._rejected = False
         self._closed = False
         self._pause_reasons: set[str] = set()
 
@@ -96,8 +102,8 @@
         self.factory.register(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parse data from the client."""
-        if self._closed:
+        """Parse data from the client; ignore what follows a rejected request."""
+        if self._closed or self._rejected:
             return
         try:
             self._parser.feed_data(data)
@@ -223,7 +229,6 @@
         if exchange is None:
             return
         if exchange.body.size + len(data) > self.limits.body_bytes:
-            exchange.body.fail(BodyTooLarge())
             raise RequestRejected(413, "body-too-large")
         exchange.body.feed(data)
 
@@ -268,29 +273,24 @@
             self._reject(500, "internal-error")
 
     def _reject(self, status: int, reason: str) -> None:
-        """Respond to an invalid request and close; abort while earlier responses are due."""
-        self._closed = True
-        exchange = self._receiving
-        if self._exchanges:
-            # The client could not tell this response from those to the earlier requests.
-            if self._exchanges[0].response_started or len(self._exchanges) > 1:
-                self.transport.abortConnection()
-                return
-            self._exchanges[0].reject()
-        body = b'{"outcome":"not-run","reason":"%s"}\n' % reason.encode()
-        head = messages.ResponseHead(
-            status,
-            messages.reason_phrase(status),
-            [
-                (b"content-type", b"application/json"),
-                (b"foxtail-outcome", b"not-run; reason=" + reason.encode()),
-            ],
+        """Respond to the request that is being received, after all earlier ones, and close."""
+        self._rejected = True
+        self._stop_timer()
+        log.info(
+            "request_invalid", status=status, reason=reason, earlier_requests=self._count_earlier()
         )
-        framing = [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
-        self.transport.write(messages.format_response(head, framing) + body)
-        self.transport.loseConnection()
-        if exchange is not None:
-            exchange.body.fail(BodyTooLarge() if status == 413 else ConnectionLost())
+        exchange = self._receiving
+        if exchange is None:
+            exchange = ServerExchange(self, INCOMPLETE_HEAD)
+            self._exchanges.append(exchange)
+        elif exchange.response_started:
+            # A second response to the same request would be taken for that to another one.
+            self.abort()
+            return
+        exchange.reject(status, reason)
+
+    def _count_earlier(self) -> int:
+        return sum(exchange is not self._receiving for exchange in self._exchanges)
 
     def _serve(self, exchange: ServerExchange) -> None:
         exchange.serving = True
@@ -354,6 +354,7 @@
 
     def _start_timer(self, delay_ms: float) -> None:
         self._timeout_at_ms = self._clock.now_ms() + delay_ms
+        self._timeout_passed = False
 
     def _stop_timer(self) -> None:
         self._timeout_at_ms = 0.0
@@ -362,6 +363,10 @@
         """Close the connection where its header or idle timeout has expired."""
         if not self._timeout_at_ms or now_ms < self._timeout_at_ms or self._closed:
             return
+        if not self._timeout_passed:
+            # Until the next check, bytes are read that arrived while the process was suspended.
+            self._timeout_passed = True
+            return
         if self._in_head:
             self._reject(408, "header-timeout")
         else:
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -59,3 +59,50 @@
     When the node is to stop and the response ends
     Then the connection stays open
     And the next response says that the connection closes, and it does
+
+  # Guards against a response in the place of another: a request that is invalid or late was rejected
+  # with 408, "not run", as the response to the booking before it, which was running.
+  Scenario Outline: A request that is rejected behind one that runs, because of <fault>
+    Given a connection with a request that runs, and <fault> behind it
+    When the running request is answered after <ms> ms
+    Then the client reads the statuses <statuses> and the connection closes
+
+    Examples:
+      | fault                                 | ms   | statuses |
+      | a head that stops half-way            | 1500 | 200 408  |
+      | a head that is too large              | 1    | 200 431  |
+      | bytes that are no request             | 1    | 200 400  |
+      | a request without a host              | 1    | 200 400  |
+      | a body that is too large              | 1    | 200 413  |
+      | a body of chunks that is too large    | 1    | 200 413  |
+      | a chunk of no size                    | 1    | 200 400  |
+      | a request to change the protocol      | 1    | 200 501  |
+
+  Scenario: Two requests run before one that is rejected
+    Given a connection with the pipelined requests 1, 2 and 3 that may overlap
+    When the client sends bytes that are no request
+    And the connection stays open and the responses 3 2 1 are ready
+    Then the client reads the statuses 200 200 200 400 and the connection closes
+
+  # Guards against a rejection that promises "not run" for a request that was passed on already.
+  Scenario Outline: A request whose handler <state> is cut off by a malformed chunk
+    Given a request in chunks whose handler <state>
+    When a malformed chunk follows
+    Then the client is told that the outcome is <outcome>
+
+    Examples:
+      | state              | outcome |
+      | waits for its body | not-run |
+      | has begun to run it | unknown |
+
+  # Guards against timeouts that count the time for which the process was suspended: a request that had
+  # arrived by then was rejected or its connection closed before it was read.
+  Scenario Outline: <what> arrives while the process is suspended
+    Given a connection that waits for <what>
+    When the process is suspended for 60000 ms and <what> arrives meanwhile
+    Then the client reads the statuses 200 and the connection stays open
+
+    Examples:
+      | what                    |
+      | the rest of a head      |
+      | a further request       |
--- a/foxtailproxy/tests/http_sessions.py
+++ b/foxtailproxy/tests/http_sessions.py
@@ -97,6 +97,27 @@
 }
 
 
+INVALID_REQUESTS: dict[str, bytes] = {
+    "a head that stops half-way": b"GET /days HTTP/1.1\r\nHost: kal",
+    "a head that is too large": b"GET / HTTP/1.1\r\n" + HOST_HEADER + b"X-Long: " + b"x" * 600,
+    "bytes that are no request": b"\x16\x03\x01 no request\r\n\r\n",
+    "a request without a host": b"GET / HTTP/1.1\r\n\r\n",
+    "a body that is too large": b"PUT / HTTP/1.1\r\n" + HOST_HEADER + b"Content-Length: 65\r\n\r\n",
+    "a body of chunks that is too large": b"PUT / HTTP/1.1\r\n"
+    + HOST_HEADER
+    + b"Transfer-Encoding: chunked\r\n\r\n41\r\n"
+    + b"x" * 65
+    + b"\r\n",
+    "a chunk of no size": b"PUT / HTTP/1.1\r\n"
+    + HOST_HEADER
+    + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+    "a request to change the protocol": b"GET / HTTP/1.1\r\n"
+    + HOST_HEADER
+    + b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+}
+"""Requests that a server rejects, by their fault."""
+
+
 class RecordingTransport(StringTransport):
     """In-memory transport that records how it is closed."""
 
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -15,6 +15,7 @@
 from foxtailproxy.tests.golden import check_golden
 from foxtailproxy.tests.http_sessions import (
     HOST_HEADER,
+    INVALID_REQUESTS,
     SERVER_LIMITS,
     RecordingTransport,
     play_session,
@@ -108,3 +109,100 @@
     advance(context.clock, 5)
     assert b"connection: close" in context.transport.value(), context.transport.value()
     assert context.transport.close_kind == "closed", context.transport.close_kind
+
+
+@given("a connection with a request that runs, and {fault} behind it")
+def step_invalid_request_behind(context: Any, fault: str) -> None:
+    context.clock = fake_clock()
+    context.served = {}
+
+    async def handle(exchange: ServerExchange) -> None:
+        context.served[exchange.head.target] = exchange
+
+    _open_connection(context, handle)
+    context.connection.dataReceived(b"POST /booking HTTP/1.1\r\n%s\r\n" % HOST_HEADER)
+    context.connection.dataReceived(INVALID_REQUESTS[fault])
+
+
+def _open_connection(context: Any, handle: Any) -> None:
+    context.factory = ServerFactory(handle, SERVER_LIMITS, context.clock)
+    context.connection = context.factory.buildProtocol(None)
+    context.transport = RecordingTransport()
+    context.connection.makeConnection(context.transport)
+
+
+@when("the running request is answered after {ms:d} ms")
+def step_answer_running(context: Any, ms: int) -> None:
+    advance(context.clock, ms)
+    assert (
+        not context.transport.value() and not context.transport.close_kind
+    ), context.transport.value()
+    body = BodyStream.from_bytes(b"booked")
+    context.served[b"/booking"].respond(ResponseHead(200, b"OK"), body)
+    advance(context.clock, 5)
+
+
+@when("the client sends bytes that are no request")
+def step_send_invalid(context: Any) -> None:
+    context.connection.dataReceived(INVALID_REQUESTS["bytes that are no request"])
+
+
+@then("the client reads the statuses {statuses} and the connection {state}")
+def step_received_statuses(context: Any, statuses: str, state: str) -> None:
+    received = re.findall(r"HTTP/1.1 (\d+) ", context.transport.value().decode())
+    expected_kind = "closed" if state == "closes" else ""
+    assert (" ".join(received), context.transport.close_kind) == (statuses, expected_kind), (
+        context.transport.value(),
+        context.transport.close_kind,
+    )
+
+
+@given("a request in chunks whose handler {state}")
+def step_request_in_chunks(context: Any, state: str) -> None:
+    context.clock = fake_clock()
+
+    async def handle(exchange: ServerExchange) -> None:
+        if state == "has begun to run it":
+            exchange.on_aborted = lambda: None
+
+    _open_connection(context, handle)
+    context.connection.dataReceived(
+        b"POST / HTTP/1.1\r\n" + HOST_HEADER + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    )
+
+
+@when("a malformed chunk follows")
+def step_malformed_chunk(context: Any) -> None:
+    context.connection.dataReceived(b"xyz\r\n")
+
+
+@then("the client is told that the outcome is {outcome}")
+def step_told_outcome(context: Any, outcome: str) -> None:
+    received = context.transport.value()
+    assert b"HTTP/1.1 400 " in received and b"foxtail-outcome: %s;" % outcome.encode() in received
+    assert b'"outcome":"%s"' % outcome.encode() in received, received
+    assert context.transport.close_kind == "closed", context.transport.close_kind
+
+
+@given("a connection that waits for {what}")
+def step_connection_waits(context: Any, what: str) -> None:
+    context.clock = fake_clock()
+
+    async def handle(exchange: ServerExchange) -> None:
+        exchange.respond(ResponseHead(200, b"OK"), BodyStream.from_bytes(b"done"))
+
+    _open_connection(context, handle)
+    if what == "the rest of a head":
+        context.connection.dataReceived(b"GET /first HTTP/1.1\r\n")
+        context.rest = HOST_HEADER + b"\r\n"
+    else:
+        context.connection.dataReceived(b"GET /first HTTP/1.1\r\n%s\r\n" % HOST_HEADER)
+        context.transport.clear()
+        context.rest = b"GET /next HTTP/1.1\r\n%s\r\n" % HOST_HEADER
+
+
+@when("the process is suspended for {ms:d} ms and {what} arrives meanwhile")
+def step_suspended(context: Any, ms: int, what: str) -> None:
+    # The reactor runs the timers that have become due before it reads from its sockets.
+    context.clock.source.advance(ms / 1000)
+    context.connection.dataReceived(context.rest)
