Decide again whether a call may run when it gets its slot and its connection

Cause: a target checked a call's service before the call waited, not when it got its slot. A process of another service that announced itself at the address of one that had fallen silent replaced the announcement and the pool, and its slots admitted the waiting calls; the instance named in the request was that of the new process. The same on related paths: a call that waited for a connection; a failed connection marked the process that had come since as down; a late 421 of one process recorded the next one as left. Ruled out: the choice of the target and calls between nodes, where the receiving node checks the service.

Change: a process of another service, or one that has left, rejects the waiting calls at once as "not run". The decision is made again with the slot and once connected. Failed connections and 421 responses count for the process that they belong to. Calls that wait go on at a new process of the same service.

--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -62,10 +62,14 @@
 
 @dataclass(eq=False, slots=True)
 class ActiveCall:
-    """Call that waits at the target or runs."""
+    """Call that waits at the target or runs.
+
+    `announcement` is that of the process to which the call was sent.
+    """
 
     call: Call
     ticket: Ticket
+    announcement: Announcement | None = None
     connection: ClientConnection | None = None
     cancelled: bool = False
 
@@ -169,11 +173,15 @@
         if self._pool is not None:
             self._pool.close()
         self._pool = ConnectionPool(self._reactor, announcement.address, announcement.port)
-        self.announcement = announcement
+        previous, self.announcement = self.announcement, announcement
         self.leaving = (
             self._left_processes.contains(announcement) if announcement.instance else False
         )
         self._crash_watch.down = False
+        if self.leaving:
+            self.admission.reject_waiting(NotRunReason.LEAVING)
+        elif previous is not None and previous.service != announcement.service:
+            self.admission.reject_waiting(NotRunReason.NO_TARGET)
         self._set_slots(announcement.slots)
         self._listener.target_changed()
 
@@ -324,8 +332,26 @@
             return NotRun(NotRunReason.DEADLINE)
         return None
 
+    def _rejection_once_connected(
+        self, active_call: ActiveCall, pool: ConnectionPool
+    ) -> NotRun | None:
+        """Return why a call must not be sent on a new connection of `pool`, if it must not."""
+        call = active_call.call
+        if active_call.cancelled:
+            return NotRun(NotRunReason.CANCELLED)
+        if call.remaining_ms(self._clock) < 1:
+            return NotRun(NotRunReason.DEADLINE)
+        if pool is not self._pool:
+            return self._rejection(call) or NotRun(NotRunReason.TARGET_DOWN)
+        return None
+
     async def _run_admitted(self, active_call: ActiveCall) -> Outcome:
         call = active_call.call
+        # The process of the upstream may have changed while the call waited for its slot.
+        rejection = self._rejection(call)
+        if rejection is not None:
+            self._release(active_call)
+            return Error(rejection)
         pool, announcement = self._pool, self.announcement
         assert pool is not None and announcement is not None
         fresh = not call.rule.idempotent and not self._reuse_idle_ms
@@ -334,14 +360,16 @@
             connection = await pool.acquire(fresh, max_idle_ms)
         except ConnectFailed:
             self._release(active_call)
-            self._crash_watch.mark_down()
+            if pool is self._pool:
+                self._crash_watch.mark_down()
             return Error(NotRun(NotRunReason.TARGET_DOWN))
-        if active_call.cancelled or call.remaining_ms(self._clock) < 1:
+        rejection = self._rejection_once_connected(active_call, pool)
+        if rejection is not None:
             self._release(active_call)
             connection.abort()
-            reason = NotRunReason.CANCELLED if active_call.cancelled else NotRunReason.DEADLINE
-            return Error(NotRun(reason))
+            return Error(rejection)
         active_call.connection = connection
+        active_call.announcement = announcement
         reused = connection.used
         remaining_ms = int(call.remaining_ms(self._clock))
         headers = self._dialect.upstream_headers(call, remaining_ms, announcement.instance)
@@ -384,7 +412,7 @@
         if metadata.load is not None:
             self._record_load(metadata.load)
         if metadata.misdirected:
-            self._handle_replaced_upstream(metadata)
+            self._handle_replaced_upstream(active_call, metadata)
         if metadata.not_run:
             active_call.connection.abort()
             return Error(NotRun(NotRunReason.UPSTREAM_REFUSED))
@@ -398,15 +426,17 @@
     def _record_load(self, load: UpstreamLoad) -> None:
         self.admission.slowness.record(load.slowness)
 
-    def _handle_replaced_upstream(self, metadata: UpstreamMetadata) -> None:
-        """Record the current process as left, since another one has its address.
+    def _handle_replaced_upstream(
+        self, active_call: ActiveCall, metadata: UpstreamMetadata
+    ) -> None:
+        """Record the process that a call was sent to as left, since another one has its address.
 
         The target takes no calls until the new process announces itself.
         """
         log.warning("upstream_replaced", instance=metadata.instance)
-        current = self.announcement
-        if current is not None and current.instance != metadata.instance:
-            self.record_left_process(current.instance, current.born_ms)
+        expected = active_call.announcement
+        if expected is not None and expected.instance != metadata.instance:
+            self.record_left_process(expected.instance, expected.born_ms)
 
     def _release_after_body(self, active_call: ActiveCall, body: BodyStream) -> None:
         if body.ended or body.error is not None:
--- /dev/null
+++ b/foxtailproxy/tests/steps/replaced_upstream.py
@@ -0,0 +1,149 @@
+"""Steps for calls that wait while another process takes the upstream's address."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+from foxtailproxy.clock import Clock
+from foxtailproxy.models.messages import Announcement
+from foxtailproxy.platform.dialect import PlatformDialect
+from foxtailproxy.target import Target
+from foxtailproxy.tests.fakes import NullTargetListener, make_call
+from foxtailproxy.tests.http_sessions import RecordingTransport
+
+PROCESSES = {
+    "a process of meistrid": Announcement(
+        "meistrid", "127.0.0.1", 80, 4, instance="i-2", born_ms=200
+    ),
+    "another process of kalender": Announcement(
+        "kalender", "127.0.0.1", 80, 4, instance="i-2", born_ms=200
+    ),
+    "a process of kalender that has left": Announcement(
+        "kalender", "127.0.0.1", 80, 4, instance="i-2", born_ms=200, leaving=True
+    ),
+}
+
+MISDIRECTED_ANSWER = (
+    b"HTTP/1.1 421 Misdirected\r\nx-foxtailproxy-attempt-id: %s\r\n"
+    b"x-foxtailproxy-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+class FakeSocket:
+    """Socket whose options have no effect."""
+
+    def setsockopt(self, *_: Any) -> None:
+        """Ignore the option."""
+
+
+class UpstreamTransport(RecordingTransport):
+    """In-memory transport of a connection to the upstream."""
+
+    def getHandle(self) -> FakeSocket:  # noqa: N802
+        """Return the socket."""
+        return FakeSocket()
+
+
+class MemoryUpstream:
+    """Target on an in-memory reactor; connections are accepted or refused by the test."""
+
+    def __init__(self) -> None:
+        self.reactor: Any = MemoryReactorClock()
+        self.clock = Clock(self.reactor)
+        dialect = PlatformDialect(lambda: "kalender")
+        self.target = Target(self.clock, self.reactor, NullTargetListener(), dialect)
+        self.transports: list[UpstreamTransport] = []
+        self.protocols: list[Any] = []
+
+    def run(self, attempt_id: str) -> list[Any]:
+        """Run a call that may not run again; return a list that receives its outcome."""
+        outcomes: list[Any] = []
+        call = make_call(self.clock, attempt_id=attempt_id, rule={"idempotent": False})
+        call.head.headers.append((b"x-foxtailproxy-attempt-id", attempt_id.encode()))
+        ensureDeferred(self.target.run(call)).addCallback(outcomes.append)
+        return outcomes
+
+    def accept(self) -> None:
+        """Accept all connections that are waiting."""
+        clients, self.reactor.tcpClients[:] = list(self.reactor.tcpClients), []
+        for _, _, factory, *_ in clients:
+            protocol = factory.buildProtocol(None)
+            self.transports.append(UpstreamTransport())
+            self.protocols.append(protocol)
+            protocol.makeConnection(self.transports[-1])
+
+    def refuse(self) -> None:
+        """Refuse all connections that are waiting."""
+        clients, self.reactor.tcpClients[:] = list(self.reactor.tcpClients), []
+        for _, _, factory, *_ in clients:
+            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+    def recipients(self, attempt_id: str) -> list[str]:
+        """Return the processes that a call was sent to, by the instance that it names."""
+        sent = [transport.value().decode() for transport in self.transports]
+        expected = r"(?i)x-foxtailproxy-expect-instance: (\S+)"
+        return [
+            found[1]
+            for text in sent
+            if attempt_id in text and (found := re.search(expected, text)) is not None
+        ]
+
+
+@given("a target of kalender with one slot")
+def step_target(context: Any) -> None:
+    context.upstream = MemoryUpstream()
+    context.upstream.target.receive_announcement(
+        Announcement("kalender", "127.0.0.1", 80, 1, instance="i-1", born_ms=100)
+    )
+
+
+@when("a call waits for {wait}")
+def step_call_waits(context: Any, wait: str) -> None:
+    if wait == "a slot":
+        context.upstream.run("earlier")
+        context.upstream.accept()
+        assert context.upstream.recipients("earlier") == ["i-1"]
+    context.outcomes = context.upstream.run("waiting")
+
+
+@when("a call runs and the address is taken by {process}")
+def step_call_runs_and_announced(context: Any, process: str) -> None:
+    context.outcomes = context.upstream.run("waiting")
+    context.upstream.accept()
+    context.upstream.target.receive_announcement(PROCESSES[process])
+
+
+@when("the address is taken by {process}")
+def step_announced(context: Any, process: str) -> None:
+    context.upstream.target.receive_announcement(PROCESSES[process])
+
+
+@when("the connection is refused")
+def step_refused(context: Any) -> None:
+    context.upstream.refuse()
+
+
+@when("the upstream answers that it is not the process that was expected")
+def step_misdirected(context: Any) -> None:
+    context.upstream.protocols[0].dataReceived(MISDIRECTED_ANSWER % b"waiting")
+    assert [str(outcome.error.reason) for outcome in context.outcomes] == ["upstream-refused"]
+
+
+@then("the call ends as {outcome} and was sent to {recipient}")
+def step_call_ended(context: Any, outcome: str, recipient: str) -> None:
+    context.upstream.accept()
+    actual = [str(ended.error.reason) for ended in context.outcomes] or ["nothing yet"]
+    recipients = context.upstream.recipients("waiting") or ["nobody"]
+    assert (actual, recipients) == ([outcome], [recipient]), (actual, recipients)
+
+
+@then("the target serves")
+def step_target_serves(context: Any) -> None:
+    assert context.upstream.target.serving
