Acknowledge the leaving of an upstream once the store has it

Causes: the acknowledgement did not wait for the record in the store, which alone outlives the nodes; a failed write of it was repeated only with the refresh, up to ten minutes later; a new process took a late heartbeat for that of a running target, although the target's health check had just answered 503. By reading, and shown by tests: a node that could not register at its first attempt replaced the record of the process before it unread, with the leaving; a rewritten record lacked that leaving; a write without an answer could take effect later and replace a newer record. Ruled out: the order of the records between nodes, since all of them had been killed.

Change: a leaving is acknowledged once the store has it, else answered with 503 after 800 ms, and written until it is stored; new calls are rejected at once in both cases. Writes and the removal of the record are conditional. The stand-in for a target repeats its leave notice until it is acknowledged.

--- a/foxtailproxy/health_check.py
+++ b/foxtailproxy/health_check.py
@@ -54,7 +54,7 @@
         except HttpError as error:
             log.info("health_check_failed", error=type(error).__name__)
             return None
-        if status != HEALTHY_STATUS or not metadata.instance or metadata.load is None:
+        if status != HEALTHY_STATUS or not metadata.instance:
             log.info("upstream_unhealthy", status=status, instance=metadata.instance)
             return None
         return metadata
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -10,7 +10,7 @@
 
 import structlog
 from msgspec.structs import replace
-from twisted.internet.defer import DeferredList, ensureDeferred, maybeDeferred
+from twisted.internet.defer import DeferredList, TimeoutError, ensureDeferred, maybeDeferred
 
 from foxtailproxy.admin_port import AdminFactory
 from foxtailproxy.call import new_id
@@ -22,6 +22,7 @@
 from foxtailproxy.config_sync import ConfigSync, IniConfigSource
 from foxtailproxy.dialect import FoxtailDialect
 from foxtailproxy.dispatch import Dispatcher
+from foxtailproxy.first_announcement import FirstAnnouncement
 from foxtailproxy.gossip import Gossip
 from foxtailproxy.http.server import ServerFactory, ServerLimits
 from foxtailproxy.lifecycle import LifecycleState, build_lifecycle
@@ -72,6 +73,10 @@
 """Longest time for which callers wait in the listen queue until a new process has a configuration.
 Without one, their requests are rejected."""
 
+MAX_LEAVING_SAVE_MS = 800
+"""Longest time for which the acknowledgement of a leaving waits for the store. The upstream waits
+for a second."""
+
 MS_PER_SECOND = 1000
 
 STOP_RESERVE_MS = 400
@@ -134,6 +139,9 @@
         self.registration = Registration(
             clock, self.store, self.table, rng, lambda: self.state.name == "serving"
         )
+        self.first_announcement = FirstAnnouncement(
+            clock, self.target, lambda: self.registration.registered
+        )
         self.config_sync = ConfigSync(
             clock,
             self.store,
@@ -283,8 +291,11 @@
         """Return whether the node serves requests: it has a configuration and is not stopping."""
         return self.state.name == "serving" and self.config_sync.rule_book is not None
 
-    def announcement_received(self, announcement: Announcement) -> None:
-        """Handle an announcement: the upstream serves, or accepts no new calls."""
+    async def announcement_received(self, announcement: Announcement) -> bool:
+        """Handle an announcement: the upstream serves, or accepts no new calls.
+
+        Return whether it may be acknowledged.
+        """
         rule_book = self.config_sync.rule_book
         if rule_book is not None and announcement.service not in rule_book.service_by_name:
             log.warning(
@@ -293,13 +304,34 @@
                 instance=announcement.instance,
                 config=self.config_sync.version()[0],
             )
-            return
-        if self.state.name == "serving" or announcement.leaving:
+            return True
+        if announcement.leaving:
             self.target.receive_announcement(announcement)
+            return await self._is_leaving_saved()
+        if self.state.name == "serving":
+            self.first_announcement.receive(announcement)
+        return True
 
-    def leave_notice_received(self, instance: str, born_ms: int) -> None:
-        """Handle the notice that an upstream process accepts no new calls."""
+    async def leave_notice_received(self, instance: str, born_ms: int) -> bool:
+        """Handle the notice that an upstream process accepts no new calls.
+
+        Return whether it may be acknowledged.
+        """
         self.target.record_left_process(instance, born_ms)
+        return await self._is_leaving_saved()
+
+    async def _is_leaving_saved(self) -> bool:
+        """Return whether the store has the leaving of the upstream, so that it outlives all nodes.
+
+        Without an acknowledgement the upstream repeats its notice.
+        """
+        saved = self.registration.save_leaving()
+        try:
+            await saved.addTimeout(MAX_LEAVING_SAVE_MS / MS_PER_SECOND, self.clock.source)
+        except TimeoutError:
+            log.warning("leaving_not_acknowledged", waited_ms=MAX_LEAVING_SAVE_MS)
+            return False
+        return True
 
     async def _discover_upstream(self) -> None:
         """Look for an upstream that was running before this node started."""
@@ -420,6 +452,8 @@
         self._gossip_local_record(state=MemberState.dead)
         await self.clock.sleep(DRAIN_CHECK_MS)
         self.config_sync.close()
+        self.registration.close()
+        self.first_announcement.close()
         self.gossip.close()
         self.peer_server.close()
         self._peer_factory.close_idle()
@@ -439,18 +473,18 @@
 
     def target_changed(self) -> None:
         """Tell the peers that the upstream appeared, went down or is leaving."""
-        announcement = self.target.announcement
+        announcement, process = self.target.announcement, self.target.process
         serving = self.target.serving
         self._gossip_local_record(
             service=announcement.service if announcement and serving else "",
             slots=announcement.slots if announcement and serving else 0,
-            instance=announcement.instance if announcement else "",
-            born_ms=announcement.born_ms if announcement else 0,
+            instance=process.instance if process else "",
+            born_ms=process.born_ms if process else 0,
             target_left=self.target.process_has_left,
         )
         if self.target.process_has_left:
             # Stored, so that this node's next process knows of it even if all nodes restart.
-            ensureDeferred(self.registration.update())  # type: ignore[arg-type]
+            self.registration.save_leaving()
 
     def target_crashed(self, calls: list[Call]) -> None:
         """Report those of `calls` that may have crashed the upstream while it ran them."""
--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -22,6 +22,9 @@
 
 MAX_HEARTBEAT_BYTES = 65536
 
+MAX_INSTANCE_LENGTH = 64
+"""Maximum length of a target's id, as in an announcement."""
+
 INSTANCES_PATH = "/instances/"
 
 READY = "ready"
@@ -49,12 +52,15 @@
 
 
 class HeartbeatListener(Protocol):
-    """Receiver of the local target's announcements and leave notices."""
+    """Receiver of the local target's announcements and leave notices.
+
+    Both methods return whether the message may be acknowledged.
+    """
 
-    def announcement_received(self, announcement: Announcement) -> None:
+    async def announcement_received(self, announcement: Announcement) -> bool:
         """Handle an announcement: the target serves, or takes no new calls."""
 
-    def leave_notice_received(self, instance: str, born_ms: int) -> None:
+    async def leave_notice_received(self, instance: str, born_ms: int) -> bool:
         """Handle a leave notice: the target process takes no new calls."""
 
 
@@ -106,20 +112,31 @@
         if not instance or exchange.head.method not in (b"PUT", b"DELETE"):
             _respond(exchange, 404)
         elif exchange.head.method == b"DELETE":
-            self._listener.leave_notice_received(instance, _decode_born_ms(body))
-            _respond(exchange, 200)
+            await self._handle_leave_notice(exchange, instance, body)
         else:
-            self._handle_heartbeat(exchange, instance, body)
+            await self._handle_heartbeat(exchange, instance, body)
+
+    async def _handle_leave_notice(
+        self, exchange: ServerExchange, instance: str, body: bytes
+    ) -> None:
+        if len(instance) > MAX_INSTANCE_LENGTH:
+            log.warning("leave_notice_malformed", reason="the instance id is too long")
+            _respond(exchange, 400)
+            return
+        may_acknowledge = await self._listener.leave_notice_received(
+            instance, _decode_born_ms(body)
+        )
+        _respond(exchange, 200 if may_acknowledge else 503)
 
-    def _handle_heartbeat(self, exchange: ServerExchange, instance: str, body: bytes) -> None:
+    async def _handle_heartbeat(self, exchange: ServerExchange, instance: str, body: bytes) -> None:
         try:
             announcement = decode_heartbeat(instance, body)
         except HeartbeatError as error:
             log.warning("heartbeat_malformed", instance=instance, reason=str(error))
             _respond(exchange, 400)
             return
-        self._listener.announcement_received(announcement)
-        _respond(exchange, 200)
+        may_acknowledge = await self._listener.announcement_received(announcement)
+        _respond(exchange, 200 if may_acknowledge else 503)
 
 
 class ReadyHandler:
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -6,21 +6,21 @@
 
 import msgspec
 import structlog
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, DeferredLock, ensureDeferred, succeed
 
 from foxtailproxy.back_off import back_off_ms
 from foxtailproxy.models.messages import MemberRecord
-from foxtailproxy.store import Conflict, Refused
+from foxtailproxy.store import Conflict, Missing, Refused
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from twisted.internet.defer import Deferred
+    from expression import Result
 
     from foxtailproxy.clock import Clock
     from foxtailproxy.membership import MemberTable
-    from foxtailproxy.store import Store
+    from foxtailproxy.store import Store, StoredObject, StoreFailure
 
 log = structlog.get_logger()
 
@@ -37,9 +37,20 @@
 """Back-off after a failed call of the store, doubled with each failure up to the maximum. Every
 call is priced, and meanwhile the node learns from its peers."""
 
+MAX_LEAVING_BACK_OFF_MS = 1_000
+"""Maximum back-off while the upstream waits for the acknowledgement of its leaving."""
+
+MAX_CONFLICTS = 3
+"""Maximum number of conflicts in one write, each of which takes another call of the store."""
+
 
 class Registration:
-    """Writer of the local record and reader of those of its peers; refreshes while `serving()`."""
+    """Writer of the local record and reader of those of its peers; refreshes while `serving()`.
+
+    Every write has a condition, so that one that takes effect late replaces no later one. The
+    record of an earlier process of this node is read before it is replaced: it tells which process
+    of the upstream has left.
+    """
 
     def __init__(
         self,
@@ -54,42 +65,68 @@
         self._table = table
         self._rng = rng
         self._serving = serving
-        self._written = False
+        self._lock = DeferredLock()
+        self._stored: MemberRecord | None = None
+        self._version: int | None = None
+        self._attempted = False
         self._removed = False
+        self._closed = False
         self._failures = 0
+        self._leaving_waiters: list[Deferred[None]] = []
+        self._saves_leaving = False
+
+    def close(self) -> None:
+        """Stop writing the leaving of the target."""
+        self._closed = True
 
     @property
     def _path(self) -> str:
         return f"{MEMBER_KIND}/{self._table.local_record.node_id}"
 
+    @property
+    def registered(self) -> bool:
+        """Whether the store has a record of this node, and that of an earlier process was read."""
+        return self._stored is not None
+
     async def join(self) -> bool:
         """Write the local record and merge all others; return whether the store answered."""
-        if self._written:
-            await self.write()
-            return not self._failures and await self._read_peers()
-        self._written = True
+        if self._attempted:
+            return await self.write() and await self._read_peers()
+        self._attempted = True
         # A stale listing, read meanwhile, has the records of nodes that registered long ago.
         listing: Deferred[bool] = ensureDeferred(self._read_peers(stale=True))  # type: ignore[arg-type]
-        created = await self._store.create(self._path, self._encoded_record())
-        await self._delete_if_removed()
+        async with self._lock:
+            created = await self._create()
         listed = await listing
         if created.is_ok():
             # List after the write, so that of two nodes that start at once one sees the other.
             return await self._read_peers()
         if isinstance(created.error, Conflict):
-            await self._resolve_conflict(created.error)
+            await self._replace_if_moved()
             return listed
-        self._failures = 1
         # After a write without an answer the listing may be older than the peers' first writes.
         return listed and isinstance(created.error, Refused)
 
-    async def _resolve_conflict(self, conflict: Conflict) -> None:
+    async def _create(self) -> Result[StoredObject, StoreFailure]:
+        """Create the local record, or read the one that the store has already."""
+        record = self._table.local_record
+        created = await self._store.create(self._path, _encode(record))
+        if created.is_ok():
+            self._record_write(record, created.ok.version)
+        elif isinstance(created.error, Conflict):
+            await self._read_current(created.error)
+        else:
+            self._failures += 1
+        await self._delete_if_removed()
+        return created
+
+    async def _replace_if_moved(self) -> None:
         """Replace the record of an earlier process of this node only if its endpoint differs.
 
         A record with the same endpoint serves the peers as well as the new one.
         """
-        previous = None if conflict.current is None else self._merge_stored(conflict.current.value)
-        if previous is None or _endpoint_of(previous) != _endpoint_of(self._table.local_record):
+        stored = self._stored
+        if stored is None or _endpoint_of(stored) != _endpoint_of(self._table.local_record):
             await self.write()
 
     async def _read_peers(self, stale: bool = False) -> bool:
@@ -97,21 +134,115 @@
         if listing.is_error():
             return False
         for stored in listing.ok.objects:
-            self._merge_stored(stored.value)
+            record = _decode(stored.value)
+            if record is not None:
+                self._table.merge(record)
         return True
 
-    async def write(self) -> None:
-        """Write the local record, whatever the store holds, unless it has been removed."""
-        if self._removed:
-            return
-        written = await self._store.put(self._path, self._encoded_record())
-        self._failures = 0 if written.is_ok() else self._failures + 1
+    async def write(self) -> bool:
+        """Write the local record unless it has been removed; return whether the store has it."""
+        async with self._lock:
+            return await self._write()
+
+    async def _write(self) -> bool:
+        for _ in range(1 + MAX_CONFLICTS):
+            if self._removed:
+                return False
+            record = self._table.local_record
+            written = await self._write_conditionally(record)
+            if written.is_ok():
+                self._record_write(record, written.ok.version)
+                await self._delete_if_removed()
+                return True
+            if isinstance(written.error, Missing):
+                self._version = None
+                continue
+            if not isinstance(written.error, Conflict):
+                break
+            if not await self._read_current(written.error):
+                break
+            if self._stored == record:
+                # An earlier write without an answer took effect.
+                self._failures = 0
+                return True
+        self._failures += 1
         await self._delete_if_removed()
+        return False
 
-    async def update(self) -> None:
-        """Write the changed local record again, if it was written before."""
-        if self._written:
-            await self.write()
+    async def _write_conditionally(
+        self, record: MemberRecord
+    ) -> Result[StoredObject, StoreFailure]:
+        """Write a record if the store still has the version that was read or written last."""
+        if self._version is None:
+            return await self._store.create(self._path, _encode(record))
+        return await self._store.update(self._path, _encode(record), self._version)
+
+    async def _read_current(self, conflict: Conflict) -> bool:
+        """Read the record that the store has after a conflict; return whether it is known."""
+        current = conflict.current
+        if current is None:
+            read = await self._store.read(self._path)
+            if read.is_error():
+                self._version = None
+                return isinstance(read.error, Missing)
+            current = read.ok
+        self._version = current.version
+        self._stored = _decode(current.value)
+        if self._stored is not None:
+            self._table.merge(self._stored)
+        return True
+
+    def _record_write(self, record: MemberRecord, version: int) -> None:
+        self._failures = 0
+        self._version = version
+        self._stored = record
+
+    # Leaving of the local target
+
+    def save_leaving(self) -> Deferred[None]:
+        """Return a deferred that fires once the store has the leaving of the local target.
+
+        The record is written until it has. Fires at once if the target has not left.
+        """
+        if self._is_leaving_stored():
+            return succeed(None)
+        saved: Deferred[None] = Deferred(self._leaving_waiters.remove)
+        self._leaving_waiters.append(saved)
+        if not self._saves_leaving:
+            self._saves_leaving = True
+            ensureDeferred(self._write_until_leaving_stored())  # type: ignore[arg-type]
+        return saved
+
+    def _is_leaving_stored(self) -> bool:
+        local, stored = self._table.local_record, self._stored
+        if not local.target_left:
+            return True
+        return (
+            stored is not None
+            and stored.target_left
+            and (stored.instance, stored.born_ms) == (local.instance, local.born_ms)
+        )
+
+    async def _write_until_leaving_stored(self) -> None:
+        self._removed = False
+        failures = 0
+        while not self._closed and not self._is_leaving_stored():
+            if not await self.write():
+                failures += 1
+                delay_ms = back_off_ms(
+                    failures, INITIAL_BACK_OFF_MS, MAX_LEAVING_BACK_OFF_MS, self._rng
+                )
+                await self._clock.sleep(delay_ms)
+        self._saves_leaving = False
+        if self._closed:
+            return
+        local = self._table.local_record
+        log.info("leaving_stored", instance=local.instance, born_ms=local.born_ms, failed=failures)
+        waiters, self._leaving_waiters = self._leaving_waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    # Refresh and removal
 
     async def refresh_periodically(self) -> None:
         """Write the local record at intervals while the node serves."""
@@ -131,27 +262,41 @@
 
     async def remove(self) -> None:
         """Remove the local record from the store, if it was written."""
-        if self._written:
-            self._removed = True
-            await self._store.delete(self._path, None)
+        if not self._attempted:
+            return
+        self._removed = True
+        # A write that is on its way removes the record when it ends.
+        if not self._lock.locked:
+            async with self._lock:
+                await self._delete()
 
     async def _delete_if_removed(self) -> None:
         """Remove the record again after a write that was on its way during the removal."""
         if self._removed:
             log.info("registration_removed_again", member=self._table.local_record.node_id)
-            await self._store.delete(self._path, None)
-
-    def _encoded_record(self) -> str:
-        return msgspec.json.encode(self._table.local_record).decode()
-
-    def _merge_stored(self, value: str) -> MemberRecord | None:
-        try:
-            record = msgspec.json.decode(value, type=MemberRecord)
-        except msgspec.MsgspecError as error:
-            log.warning("member_malformed", error=str(error))
-            return None
-        self._table.merge(record)
-        return record
+            await self._delete()
+
+    async def _delete(self) -> None:
+        """Delete the record, but not one that a later process of this node has written."""
+        deleted = await self._store.delete(self._path, self._version)
+        if deleted.is_ok() or not isinstance(deleted.error, Conflict):
+            return
+        is_known = await self._read_current(deleted.error)
+        stored = self._stored
+        if is_known and stored and stored.boot_id == self._table.local_record.boot_id:
+            await self._store.delete(self._path, self._version)
+
+
+def _encode(record: MemberRecord) -> str:
+    return msgspec.json.encode(record).decode()
+
+
+def _decode(value: str) -> MemberRecord | None:
+    try:
+        return msgspec.json.decode(value, type=MemberRecord)
+    except msgspec.MsgspecError as error:
+        log.warning("member_malformed", error=str(error))
+        return None
 
 
 def _endpoint_of(record: MemberRecord) -> tuple[str, int, int]:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -40,7 +40,7 @@
     reached_upstream,
 )
 from foxtailproxy.target_policy import RUN_AT_ONCE
-from foxtailproxy.upstream_process import LeftProcesses, is_stale, same_process
+from foxtailproxy.upstream_process import LeftProcesses, UpstreamProcess, is_stale, same_process
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -141,8 +141,8 @@
 
     def record_left_process(self, instance: str, born_ms: int) -> None:
         """Record that an upstream process takes no new work, now or when it is announced again."""
-        self._left_processes.add(instance, born_ms)
-        if self.process_has_left:
+        is_new = self._left_processes.add(UpstreamProcess(instance, born_ms))
+        if is_new and self.process_has_left:
             if self.leaving:
                 self._listener.target_changed()
             self.leave()
@@ -187,15 +187,20 @@
 
     async def discover(self, service: str, address: str, port: int) -> None:
         """Announce an upstream that ran before this node started, if its health check succeeds."""
-        pool = ConnectionPool(self._reactor, address, port)
-        metadata = await self.health_check.check(pool)
-        pool.close()
+        metadata = await self.check_health(address, port)
         if metadata is None or metadata.load is None or self.announcement is not None:
             return
         self.receive_announcement(
             Announcement(service, address, port, metadata.load.slots, instance=metadata.instance)
         )
 
+    async def check_health(self, address: str, port: int) -> UpstreamMetadata | None:
+        """Return the metadata of the upstream at an address; `None` if it is not healthy."""
+        pool = ConnectionPool(self._reactor, address, port)
+        metadata = await self.health_check.check(pool)
+        pool.close()
+        return metadata
+
     def leave(self) -> None:
         """Take no new calls for the upstream: reject the waiting ones, finish the running ones."""
         if self.leaving:
@@ -210,10 +215,18 @@
         """Whether the upstream accepts no connections."""
         return self._crash_watch.down
 
+    @property
+    def process(self) -> UpstreamProcess | None:
+        """The current process of the upstream; before any announcement, the last that left."""
+        if self.announcement is not None:
+            return UpstreamProcess(self.announcement.instance, self.announcement.born_ms)
+        return self._left_processes.latest
+
     @property
     def process_has_left(self) -> bool:
         """Whether the upstream's process itself announced that it takes no new work."""
-        return self.announcement is not None and self._left_processes.contains(self.announcement)
+        process = self.process
+        return process is not None and self._left_processes.contains(process)
 
     @property
     def serving(self) -> bool:
--- a/foxtailproxy/tests/live_platform.feature
+++ b/foxtailproxy/tests/live_platform.feature
@@ -22,6 +22,22 @@
       | heartbeat |
       | notice    |
 
+  # Guards against a target that has left and is in use again: its leaving was acknowledged while the
+  # store was out, all nodes ended, and a late heartbeat was taken for that of a running target.
+  Scenario Outline: A target leaves while the store is out, and all nodes are killed <when>
+    Given nodes on the platform with a configuration
+    When a target announces its leaving while the store is out for 3000 ms
+    And all nodes are killed <when> and started again
+    And a heartbeat from before the leaving arrives 1000 ms later
+    Then the leaving was not acknowledged before the store was back
+    And no request reaches the target in 4000 ms
+
+    Examples:
+      | when                  |
+      | during the outage     |
+      | after the outage      |
+      | in a second outage    |
+
   Scenario: A node that restarts beside a running target serves within a second
     Given nodes on the platform with a configuration
     When a node is killed and started again
--- a/foxtailproxy/tests/steps/live_platform.py
+++ b/foxtailproxy/tests/steps/live_platform.py
@@ -18,6 +18,8 @@
 LOAD_S = 3.0
 RESTART_LOAD_S = 1.0
 FIRST_HEARTBEAT_S = 1.0
+LEAVING_KNOWN_S = 0.3
+SECOND_OUTAGE_S = 2.5
 BUSY_CALLERS = 8
 REFUSED_WITHIN_S = 0.1
 OK_STATUS = 200
@@ -130,6 +132,68 @@
     assert len(live.read_report(machine)["ledger"]) == run_count
 
 
+def _set_store_outage(live: PlatformFleet, outage: bool) -> None:
+    http_json("POST", f"{live.fleet.platform_url}/faults", {"outage": outage})
+
+
+@when("a target announces its leaving while the store is out for {ms:d} ms")
+def step_leaves_in_outage(context: Any, ms: int) -> None:
+    live = context.live
+    context.machine = live.machines[0]
+    _set_store_outage(live, True)
+    context.outage_ends_s = time.time() + ms / 1000
+    http_json("POST", f"{context.machine.standin_url}/leave")
+    time.sleep(LEAVING_KNOWN_S)
+
+
+@when("all nodes are killed {when} and started again")
+def step_kill_all_after_leaving(context: Any, when: str) -> None:
+    live = context.live
+    if when != "during the outage":
+        _end_outage(context)
+        live.fleet.wait_until(
+            lambda: live.read_report(context.machine)["acknowledged_s"], "the leaving is known"
+        )
+    if when == "in a second outage":
+        _set_store_outage(live, True)
+        context.outage_ends_s = time.time() + SECOND_OUTAGE_S
+    for machine in live.machines:
+        live.fleet.kill(machine.name)
+    for machine in live.machines:
+        live.start_node(machine)
+
+
+def _end_outage(context: Any) -> None:
+    time.sleep(max(0.0, context.outage_ends_s - time.time()))
+    context.store_back_s = getattr(context, "store_back_s", time.time())
+    _set_store_outage(context.live, False)
+
+
+@when("a heartbeat from before the leaving arrives {ms:d} ms later")
+def step_late_heartbeat(context: Any, ms: int) -> None:
+    time.sleep(ms / 1000)
+    context.run_count = len(context.live.read_report(context.machine)["ledger"])
+    http_json("POST", f"{context.machine.standin_url}/repeat")
+    _end_outage(context)
+
+
+@then("the leaving was not acknowledged before the store was back")
+def step_not_acknowledged_early(context: Any) -> None:
+    live = context.live
+    live.fleet.wait_until(
+        lambda: live.read_report(context.machine)["acknowledged_s"], "the leaving is known"
+    )
+    assert live.read_report(context.machine)["acknowledged_s"] >= context.store_back_s
+
+
+@then("no request reaches the target in {ms:d} ms")
+def step_no_request_reaches_target(context: Any, ms: int) -> None:
+    live = context.live
+    live.start_load(ms / 1000, live.machines).join()
+    runs = live.read_report(context.machine)["ledger"][context.run_count :]
+    assert not runs, runs[:3]
+
+
 @when("a node is killed and started again")
 def step_restart_node(context: Any) -> None:
     live = context.live
--- a/foxtailproxy/tests/steps/registration.py
+++ b/foxtailproxy/tests/steps/registration.py
@@ -15,7 +15,7 @@
 from foxtailproxy.models.messages import MemberRecord
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.registration import MEMBER_KIND, Registration
-from foxtailproxy.store import Conflict, Refused, Unreachable
+from foxtailproxy.store import Conflict, Missing, Refused, Unreachable
 from foxtailproxy.tests.fakes import FakePlatform, advance, fake_clock, make_member
 from standins.platform_configs import config_text
 
@@ -54,15 +54,19 @@
         created = await super().create(path, value)
         return Error(Unreachable("answer lost")) if self.loses_answers else created
 
-    async def put(self, path: str, value: str) -> Any:
-        """Write an object regardless of its version."""
+    async def update(self, path: str, value: str, version: int) -> Any:
+        """Replace an object that must have `version`."""
         self.total_price += 1
         await self.clock.sleep(self.record_write_ms)
         if self.rejects_writes:
             return Error(Refused("status 429"))
-        if path not in self.object_by_path:
-            return await super().create(path, value)
-        return await self.update(path, value, self.object_by_path[path].version)
+        existing = self.object_by_path.get(path)
+        if existing is None:
+            return Error(Missing())
+        if existing.version != version:
+            return Error(Conflict(existing))
+        updated = await super().update(path, value, version)
+        return Error(Unreachable("answer lost")) if self.loses_answers else updated
 
 
 def _store_member(store: PricedStore, node_id: str, **fields: Any) -> None:
@@ -145,6 +149,118 @@
     assert LOCAL_RECORD_PATH not in context.store.object_by_path
 
 
+class NodeProcess:
+    """One process of a node, as far as it registers and knows its target."""
+
+    def __init__(self, clock: Any, store: PricedStore, number: int, address: str = "me") -> None:
+        me = make_member("me", address=address, incarnation=100 * number, boot_id=f"boot-{number}")
+        self.table = MemberTable(
+            clock, me, lambda record: None, lambda: None, self._read_earlier_record
+        )
+        self.registration = Registration(
+            clock, store, self.table, random.Random(number), lambda: True
+        )
+        self._clock = clock
+
+    def _read_earlier_record(self, record: MemberRecord) -> None:
+        if record.target_left:
+            self.table.update_local_record(
+                instance=record.instance, born_ms=record.born_ms, target_left=True
+            )
+
+    @property
+    def knows_leaving(self) -> bool:
+        """Whether the process knows that its target has left."""
+        return self.table.local_record.target_left
+
+    async def join(self) -> None:
+        """Join, again and again until the store answers, and refresh the record."""
+        failures = 0
+        while not await self.registration.join():
+            failures += 1
+            await self._clock.sleep(self.registration.retry_delay_ms(failures))
+        await self.registration.refresh_periodically()
+
+    def leave(self) -> list[float]:
+        """Let the target leave; return a list that receives the time at which that is stored."""
+        self.table.update_local_record(instance="i-1", born_ms=100, target_left=True)
+        saved: list[float] = []
+        self.registration.save_leaving().addCallback(lambda _: saved.append(self._clock.now_ms()))
+        return saved
+
+
+def _begin_fault(store: PricedStore, fault: str) -> None:
+    store.faults.outage = fault == "is out"
+    store.rejects_writes = fault == "turns writes away"
+    store.loses_answers = fault == "loses answers"
+    store.record_write_ms = 300 if fault == "is slow" else 0
+
+
+def _start_process(context: Any, number: int, address: str = "me") -> NodeProcess:
+    process = NodeProcess(context.clock, context.store, number, address)
+    ensureDeferred(process.join())
+    return process
+
+
+@given("a node that has joined, and a store that {fault} for {ms:d} ms from then on")
+def step_joined(context: Any, fault: str, ms: int) -> None:
+    context.clock = fake_clock()
+    context.store = PricedStore(context.clock, random.Random(1))
+    context.process = _start_process(context, 1)
+    advance(context.clock, 1000)
+    _begin_fault(context.store, fault)
+    context.clock.call_later(ms, _begin_fault, context.store, "answers")
+    context.fault_ends_ms = context.clock.now_ms() + ms
+
+
+@when("its target leaves")
+def step_target_leaves(context: Any) -> None:
+    context.saved_ms = context.process.leave()
+
+
+@then("the leaving counts as stored from {first:d} to {last:d} ms after the end of the fault")
+def step_leaving_stored(context: Any, first: int, last: int) -> None:
+    context.store.total_price = 0
+    advance(context.clock, context.fault_ends_ms + last - context.clock.now_ms())
+    assert len(context.saved_ms) == 1
+    after_ms = context.saved_ms[0] - context.fault_ends_ms
+    assert first <= after_ms <= last, after_ms
+
+
+@then("a later process at {address} knows of the leaving, and so does the one after it")
+def step_later_processes_know(context: Any, address: str) -> None:
+    fault = getattr(context, "fault_at_start", "answers")
+    for number in (2, 3):
+        _begin_fault(context.store, fault)
+        process = _start_process(context, number, "me" if address == "the same address" else "new")
+        advance(context.clock, 2000)
+        _begin_fault(context.store, "answers")
+        advance(context.clock, 20_000)
+        assert process.knows_leaving, number
+
+
+@given("a node that stored the leaving of its target, and a store that {fault} at each start")
+def step_stored_leaving(context: Any, fault: str) -> None:
+    step_joined(context, "answers", 0)
+    step_target_leaves(context)
+    advance(context.clock, 100)
+    assert context.saved_ms
+    context.fault_at_start = fault
+
+
+@given("a node whose record was written without an answer, which takes effect {ms:d} ms late")
+def step_late_write(context: Any, ms: int) -> None:
+    step_joined(context, "answers", 0)
+    stored = context.store.object_by_path[LOCAL_RECORD_PATH]
+    context.clock.call_later(
+        ms,
+        context.store._apply,
+        LOCAL_RECORD_PATH,
+        lambda current: current is not None and current.version == stored.version,
+        stored.value,
+    )
+
+
 @then("the store holds the node's record and the node knows all members")
 def step_record_stored_and_peers_known(context: Any) -> None:
     stored = msgspec.json.decode(
--- a/foxtailproxy/tests/store.feature
+++ b/foxtailproxy/tests/store.feature
@@ -114,3 +114,34 @@
       | correction   | a record of another address | 300   | 100   |
       | correction   | a record of another address | 300   | 400   |
       | registration | nothing                     | 0     | 100   |
+
+  # Guards against an acknowledgement whose record is lost with all nodes: the upstream that left is
+  # in use again after their restart.
+  Scenario Outline: The target of a node leaves while its store <fault>
+    Given a node that has joined, and a store that <fault> for <ms> ms from then on
+    When its target leaves
+    Then the leaving counts as stored from <first> to <last> ms after the end of the fault
+    And a later process at the same address knows of the leaving, and so does the one after it
+
+    Examples:
+      | fault             | ms   | first | last |
+      | answers           | 0    | 0     | 100  |
+      | is slow           | 0    | 0     | 400  |
+      | is out            | 4500 | 0     | 2000 |
+      | turns writes away | 4500 | 0     | 2000 |
+      | loses answers     | 2000 | -2000 | 2000 |
+
+  # Guards against a new process that replaces the record of the one before without having read it.
+  Scenario Outline: Two processes of a node start at <address> while its store <fault>
+    Given a node that stored the leaving of its target, and a store that <fault> at each start
+    Then a later process at <address> knows of the leaving, and so does the one after it
+
+    Examples:
+      | fault             | address          |
+      | answers           | the same address |
+      | answers           | another address  |
+      | is out            | the same address |
+      | is out            | another address  |
+      | turns writes away | another address  |
+      | loses answers     | another address  |
+      | is slow           | another address  |
--- a/foxtailproxy/upstream_process.py
+++ b/foxtailproxy/upstream_process.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,6 +15,14 @@
 """Maximum number of processes remembered as having left."""
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamProcess:
+    """One process of the upstream."""
+
+    instance: str
+    born_ms: int
+
+
 def same_process(current: Announcement, announcement: Announcement) -> bool:
     """Return whether two announcements are from the same process."""
     same = (current.instance, current.address, current.port, current.service) == (
@@ -46,17 +55,28 @@
     """Processes that have announced that they take no new work."""
 
     def __init__(self) -> None:
-        self._processes: dict[tuple[str, int], None] = {}
+        self._processes: dict[UpstreamProcess, None] = {}
 
-    def add(self, instance: str, born_ms: int) -> None:
-        """Record that a process has left, and drop the oldest one beyond the maximum."""
-        self._processes[instance, born_ms] = None
+    @property
+    def latest(self) -> UpstreamProcess | None:
+        """The process that started last, as far as that is known."""
+        return max(self._processes, key=lambda process: process.born_ms, default=None)
+
+    def add(self, process: UpstreamProcess) -> bool:
+        """Record that a process has left; return `False` if that was recorded before.
+
+        The process recorded first is dropped beyond the maximum.
+        """
+        if process in self._processes:
+            return False
+        self._processes[process] = None
         if len(self._processes) > MAX_LEFT_PROCESSES:
             del self._processes[next(iter(self._processes))]
+        return True
 
-    def contains(self, announcement: Announcement) -> bool:
+    def contains(self, process: Announcement | UpstreamProcess) -> bool:
         """Return whether the process has left; an unknown start matches any process of its name."""
         return any(
-            instance == announcement.instance and _same_start(born_ms, announcement.born_ms)
-            for instance, born_ms in self._processes
+            left.instance == process.instance and _same_start(left.born_ms, process.born_ms)
+            for left in self._processes
         )
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -5,7 +5,8 @@
 
 Each request is answered after the `run_ms` of its query, or 5 ms, with the attempt id, a receipt
 and the load. `/_standin/` controls the stand-in: `ledger` (requests that ran), `drain` (announce it
-in the heartbeats), `leave` (send a leave notice and no more heartbeats).
+in the heartbeats), `leave` (send a leave notice until it is acknowledged, and no more heartbeats),
+`repeat` (send the last heartbeat of the ready target again, as one that arrives late).
 
 Each run is written to standard output before it starts, so that none is missing after a kill.
 """
@@ -22,10 +23,11 @@
 from klein import Klein
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import LoopingCall
+from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
 HEARTBEAT_INTERVAL_S = 0.5
+LEAVE_INTERVAL_S = 0.5
 HEADER_PREFIX = "x-foxtailproxy-"
 DEFAULT_RUN_MS = b"5"
 
@@ -59,6 +61,7 @@
         self.running = 0
         self.acknowledged_s = 0.0
         self.ledger: list[ExecutedRequest] = []
+        self.last_ready_heartbeat = b""
         self.heartbeat_loop: LoopingCall | None = None
 
     def start(self) -> None:
@@ -82,9 +85,21 @@
             "sequence": self.sequence,
             "born": self.born_ms,
         }
-        await self._call_node("PUT", msgspec.json.encode(body))
+        text = msgspec.json.encode(body)
+        if self.state == "ready":
+            self.last_ready_heartbeat = text
+        await self._call_node("PUT", text, tells_leaving=self.state != "ready")
 
-    async def _call_node(self, method: str, body: bytes | None) -> None:
+    async def _leave(self) -> None:
+        twisted_reactor: Any = reactor
+        while not self.acknowledged_s:
+            await self._call_node("DELETE", None, tells_leaving=True)
+            await deferLater(twisted_reactor, LEAVE_INTERVAL_S)
+
+    async def _repeat_heartbeat(self) -> None:
+        await self._call_node("PUT", self.last_ready_heartbeat, tells_leaving=False)
+
+    async def _call_node(self, method: str, body: bytes | None, tells_leaving: bool) -> None:
         url = f"http://{self.control}/instances/{self.instance}"
         try:
             response = await treq.request(method, url, data=body, timeout=1, persistent=False)
@@ -95,7 +110,7 @@
                 file=sys.stderr,
             )
             return
-        if response.code == 200 and self.state != "ready" and not self.acknowledged_s:
+        if response.code == 200 and tells_leaving and not self.acknowledged_s:
             self.acknowledged_s = time.time()
             line = {"instance": self.instance, "acknowledged_s": self.acknowledged_s}
             sys.stdout.buffer.write(msgspec.json.encode(line) + b"\n")
@@ -118,7 +133,9 @@
             self.state = "left"
             assert self.heartbeat_loop is not None
             self.heartbeat_loop.stop()
-            ensureDeferred(self._call_node("DELETE", None))  # type: ignore[arg-type]
+            ensureDeferred(self._leave())  # type: ignore[arg-type]
+        elif action == "repeat":
+            ensureDeferred(self._repeat_heartbeat())  # type: ignore[arg-type]
         report = {"ledger": self.ledger, "acknowledged_s": self.acknowledged_s}
         return msgspec.json.encode(report)
 
