Take back the leave mark of a process found by a health check once its start is known

Cause: a health check does not tell the start of a process, and an unknown start counts as that of any process of the name. So the new process was taken for the one that had left, and the announcement that told its start did not change that. For the same reason a leave notice without a start marked each later process of the name; it now means the current one.

--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -131,16 +131,24 @@
                 sequence=announcement.sequence,
             )
             return
-        if announcement.leaving:
-            self.record_left_process(announcement.instance, announcement.born_ms)
         current = self.announcement
         if current is None or not same_process(current, announcement):
+            if announcement.leaving:
+                self.record_left_process(announcement.instance, announcement.born_ms)
             self._switch_process(announcement)
-        else:
-            self._update_announcement(current, announcement)
+            return
+        self._update_announcement(current, announcement)
+        if announcement.leaving:
+            self.record_left_process(announcement.instance, announcement.born_ms)
 
     def record_left_process(self, instance: str, born_ms: int) -> None:
-        """Record that an upstream process takes no new work, now or when it is announced again."""
+        """Record that an upstream process takes no new work, now or when it is announced again.
+
+        If its start is unknown (`born_ms` is 0), the current process of that name is meant.
+        """
+        current = self.announcement
+        if not born_ms and current is not None and current.instance == instance:
+            born_ms = current.born_ms
         is_new = self._left_processes.add(UpstreamProcess(instance, born_ms))
         if is_new and self.process_has_left:
             if self.leaving:
@@ -154,6 +162,10 @@
             # Without an instance name, a further announcement counts as a restart of the upstream.
             self._switch_process(announcement)
             return
+        if self.leaving and not current.born_ms and not self.process_has_left:
+            # The process was found by a health check, and is none of those of its name that left.
+            self._switch_process(announcement)
+            return
         if current.slots != announcement.slots:
             self._set_slots(announcement.slots)
 
--- a/foxtailproxy/tests/announcements.feature
+++ b/foxtailproxy/tests/announcements.feature
@@ -32,6 +32,33 @@
       | with the name of one that left       | a 100 1 leaving | a 200 | serving |
       | that took the place of one that left | a 100 1 leaving | b 200 | serving |
 
+  # Guards against a target that is kept out for good: it started again under the name of a process
+  # that left, and a health check, which does not tell the start, found it first.
+  Scenario Outline: A process is found by a health check and then announced as <found>
+    Given peers with a record of the node before its restart and its target <known>
+    When the restarted node finds the process a 0 running
+    And it is announced as <found>
+    Then the target is <state> with process <process>
+
+    Examples:
+      | known           | found   | state   | process |
+      | a 100 1 leaving | a 200 1 | serving | a 200   |
+      | a 100 1 leaving | a 100 2 | leaving | a 100   |
+      | a 100 1         | a 100 2 | serving | a 100   |
+
+  # Guards against a leaving that is taken for that of each later process of the same name.
+  Scenario Outline: A process <leaves> and starts again under its name
+    Given a target that was announced as <first>
+    When <leaves>
+    And it is announced as a 200 1
+    Then the target is serving with process a 200
+    And the process a 100 counts as left
+
+    Examples:
+      | first   | leaves                              |
+      | a 100 1 | it leaves without telling its start |
+      | a 0     | it is announced as a 100 2 leaving  |
+
   Scenario Outline: Retries of <nodes> nodes that share a slack of <slack> per 10 s
     Given <nodes> nodes that share a retry ratio of <percent> percent and a slack of <slack>
     When each has <calls> calls in 10 s and requests a retry every 200 ms
--- a/foxtailproxy/tests/steps/announcements.py
+++ b/foxtailproxy/tests/steps/announcements.py
@@ -49,6 +49,16 @@
     context.target.receive_announcement(parse_announcement(text))
 
 
+@when("it leaves without telling its start")
+def step_leaves_without_start(context: Any) -> None:
+    context.target.record_left_process(context.target.announcement.instance, 0)
+
+
+@then("the process {process} counts as left")
+def step_counts_as_left(context: Any, process: str) -> None:
+    assert context.target._left_processes.contains(parse_announcement(process))
+
+
 @then("the target is {state} with process {process}")
 def step_target_state(context: Any, state: str, process: str) -> None:
     target = context.target
