Count a connection as busy until its response is sent

Cause: an exchange ended when its last bytes were handed to the transport, so that a stopping node was idle, and ended, with up to a write buffer of each connection unsent. Beside it, Twisted resumes a paused producer in place of a requested close, so that a connection to a slow caller never closed after its last response. Ruled out: the grace period, as the process ended 2 to 3 s after the signal.

Change: bytes that are still in the transport's buffers keep a connection busy; a connection that is to be closed has no producer any more.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -16,7 +16,7 @@
 from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http import messages
 from foxtailproxy.http.exchange import ServerExchange
-from foxtailproxy.http.transport import write_now
+from foxtailproxy.http.transport import close_once_sent, has_unsent_bytes, write_now
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -309,13 +309,13 @@
             self._exchanges.popleft()
         if not exchange.keep_alive or not exchange.body.ended:
             self._closed = True
-            self.transport.loseConnection()
+            close_once_sent(self.transport)
             return
         self._resume("pipeline")
         if self._exchanges:
             self._clock.call_later(0, self._serve_next)
         elif self._close_when_idle:
-            self.transport.loseConnection()
+            close_once_sent(self.transport)
         elif not self._in_head:
             self._start_timer(self.limits.idle_time_ms)
 
@@ -342,15 +342,15 @@
 
     @property
     def busy(self) -> bool:
-        """Whether an exchange is in progress or queued."""
-        return bool(self._exchanges)
+        """Whether an exchange is in progress or queued, or its response is not sent to its end."""
+        return bool(self._exchanges) or has_unsent_bytes(self.transport)
 
     def close_when_idle(self) -> None:
         """Close the connection now if it is idle, else after the last response."""
         self.closing = True
         self._close_when_idle = True
         if not self._exchanges:
-            self.transport.loseConnection()
+            close_once_sent(self.transport)
 
     def _start_timer(self, delay_ms: float) -> None:
         self._timeout_at_ms = self._clock.now_ms() + delay_ms
@@ -370,7 +370,7 @@
         if self._in_head:
             self._reject(408, "header-timeout")
         else:
-            self.transport.loseConnection()
+            close_once_sent(self.transport)
 
 
 class ServerFactory(Factory):
--- a/foxtailproxy/http/transport.py
+++ b/foxtailproxy/http/transport.py
@@ -26,15 +26,27 @@
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def has_unsent_bytes(transport: Any) -> bool:
+    """Return whether bytes that were written are still in the memory of this process."""
+    return bool(getattr(transport, "dataBuffer", b"") or getattr(transport, "_tempDataBuffer", ()))
+
+
+def close_once_sent(transport: Any) -> None:
+    """Close a connection after all bytes that were written to it are sent."""
+    # Twisted resumes a paused producer in place of the close, and does not come back to it.
+    if transport.producer is not None:
+        transport.unregisterProducer()
+    transport.loseConnection()
+
+
 def write_now(transport: Any, data: bytes) -> None:
     """Send as much as the socket accepts immediately; the reactor sends the rest later.
 
     Twisted's `write` waits for the next iteration of the reactor, which costs three more system
     calls for each message.
     """
-    pending = getattr(transport, "dataBuffer", b"") or getattr(transport, "_tempDataBuffer", ())
     write_some = getattr(transport, "writeSomeData", None)
-    if pending or write_some is None or transport.disconnecting:
+    if has_unsent_bytes(transport) or write_some is None or transport.disconnecting:
         transport.write(data)
         return
     sent = write_some(data)
