Go on reading a connection at the end of a body that waits

Cause: reading is paused while over 64 KiB of a body wait for their consumer. If the body's end came in the same read, nothing took the pause back, since a body that has ended neither pauses nor resumes its source. The same where the consumer pushed back on the last part. Ruled out: the slots of the target, which were free again.

Change: the end of a body resumes its source. Resuming has no effect on a connection that is not paused for that reason.

--- a/foxtailproxy/http/body.py
+++ b/foxtailproxy/http/body.py
@@ -95,6 +95,8 @@
 
     def end(self) -> None:
         """Mark the body as complete."""
+        # The source goes on to what follows, also while nothing takes the end of this body.
+        self.resume()
         self.ended = True
         if self._sink is not None:
             self._sink.body_end()
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -154,6 +154,8 @@
         self._pause_reasons.add(reason)
 
     def _resume(self, reason: str) -> None:
+        if reason not in self._pause_reasons:
+            return
         self._pause_reasons.discard(reason)
         if not self._pause_reasons and not self._closed:
             self.transport.resumeProducing()
--- a/foxtailproxy/tests/slow_reader.feature
+++ b/foxtailproxy/tests/slow_reader.feature
@@ -13,3 +13,23 @@
     Given a server that has sent all it can of a last response, to a client that does not read
     When the client reads to the end of the response
     Then the client has the whole response and the connection closes
+
+  # Guards against a connection that is not read any more: reading was paused for a body that waited, and
+  # the body's end came in the same read.
+  Scenario Outline: A body of <size> bytes <waits> and ends within one read
+    Given a connection with a request whose body of <size> bytes <waits>
+    Then the server reads the connection
+    When the request is answered and another one follows
+    Then the other request gets its answer too
+
+    Examples:
+      | size   | waits                                 |
+      | 100    | waits for its consumer                |
+      | 80000  | waits for its consumer                |
+      | 80000  | is paused by its consumer             |
+
+  Scenario: A body that waits for its consumer is read no further than its buffer
+    Given a connection with a request whose body is incomplete after 80000 bytes
+    Then the server does not read the connection
+    When the consumer of the body is ready
+    Then the server reads the connection
