Stop the header timeout while a connection is not read

Cause: beyond eight open requests the node stops reading, also inside a head, but the header timeout of that head went on, and its end aborted the connection. Since rejections wait for earlier responses the nine are no longer cut, but the tenth got 408 for a head that the node itself did not read. Change: the timeout starts again while reading is paused.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -365,6 +365,10 @@
         """Close the connection where its header or idle timeout has expired."""
         if not self._timeout_at_ms or now_ms < self._timeout_at_ms or self._closed:
             return
+        if self._in_head and self._pause_reasons:
+            # The client cannot complete the head while the connection is not read.
+            self._start_timer(self.limits.header_time_ms)
+            return
         if not self._timeout_passed:
             # Until the next check, bytes are read that arrived while the process was suspended.
             self._timeout_passed = True
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -106,3 +106,10 @@
       | what                    |
       | the rest of a head      |
       | a further request       |
+
+  # Guards against a header timeout that runs while the connection is not read, since many requests wait.
+  Scenario: A head that is incomplete while nine requests wait
+    Given a connection with nine requests that run, and the first part of a head behind them
+    When no response is ready for 5000 ms
+    And all nine are answered, and the rest of the head arrives
+    Then the client reads ten statuses 200 and the connection stays open
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -10,7 +10,7 @@
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.exchange import ServerExchange
 from foxtailproxy.http.messages import ResponseHead
-from foxtailproxy.http.server import ServerFactory
+from foxtailproxy.http.server import PIPELINE_LIMIT, ServerFactory
 from foxtailproxy.tests.fakes import advance, fake_clock
 from foxtailproxy.tests.golden import check_golden
 from foxtailproxy.tests.http_sessions import (
@@ -206,3 +206,39 @@
     # The reactor runs the timers that have become due before it reads from its sockets.
     context.clock.source.advance(ms / 1000)
     context.connection.dataReceived(context.rest)
+
+
+@given("a connection with nine requests that run, and the first part of a head behind them")
+def step_nine_requests(context: Any) -> None:
+    context.clock = fake_clock()
+    context.exchanges = []
+
+    async def handle(exchange: ServerExchange) -> None:
+        context.exchanges.append(exchange)
+
+    _open_connection(context, handle)
+    request = b"GET /days HTTP/1.1\r\n%s\r\n" % HOST_HEADER
+    context.connection.dataReceived(request * (PIPELINE_LIMIT + 1) + request[:20])
+    context.rest = request[20:]
+
+
+@when("no response is ready for {ms:d} ms")
+def step_no_response(context: Any, ms: int) -> None:
+    advance(context.clock, ms)
+    assert not context.transport.close_kind, context.transport.close_kind
+
+
+@when("all nine are answered, and the rest of the head arrives")
+def step_answer_all(context: Any) -> None:
+    for number in range(PIPELINE_LIMIT + 2):
+        if number > PIPELINE_LIMIT:
+            assert context.transport.producerState == "producing"
+            context.connection.dataReceived(context.rest)
+        body = BodyStream.from_bytes(b"done")
+        context.exchanges[number].respond(ResponseHead(200, b"OK"), body)
+        advance(context.clock, 5)
+
+
+@then("the client reads ten statuses 200 and the connection stays open")
+def step_ten_statuses(context: Any) -> None:
+    step_received_statuses(context, " ".join(["200"] * 10), "stays open")
