Count only a head's own bytes for its size

A small request could be answered with 431 because of the request before it on the connection (review, by reading; shown now).

Cause: the size of a head that was incomplete at the end of a read grew by the whole read, also where the read began with the end of a long body or with other requests. Change: a read counts if it holds nothing but one head; of a head that begins behind other bytes only what follows that read is counted, so that at most one read more than the limit is kept in memory.

The golden session of a head that is too large is unchanged.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -86,6 +86,7 @@
         self._headers: messages.HeaderList = []
         self._head_size = 0
         self._in_head = False
+        self._heads_begun = 0
         self._timeout_at_ms = 0.0
         self._timeout_passed = False
         self._rejected = False
@@ -105,9 +106,13 @@
         """Parse data from the client; ignore what follows a rejected request."""
         if self._closed or self._rejected:
             return
+        was_in_head, was_in_body = self._in_head, self._receiving is not None
+        self._heads_begun = 0
         try:
             self._parser.feed_data(data)
-            self._check_head_size(len(data))
+            # Bytes in front of a head do not count for it, but belong to an earlier request.
+            if not was_in_body and self._heads_begun == (0 if was_in_head else 1):
+                self._check_head_size(len(data))
         except httptools.HttpParserUpgrade:
             self._reject(501, "upgrade-not-supported")
         except httptools.HttpParserCallbackError as error:
@@ -164,6 +169,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state and restart the header timeout for a new request."""
+        self._heads_begun += 1
         self._in_head = True
         self._head_size = 0
         self._start_timer(self.limits.header_time_ms)
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -113,3 +113,15 @@
     When no response is ready for 5000 ms
     And all nine are answered, and the rest of the head arrives
     Then the client reads ten statuses 200 and the connection stays open
+
+  # Guards against a head that counts as too large because of the bytes of the request before it.
+  Scenario Outline: A small head begins in the same read as <before>
+    Given a connection that has received <first>
+    When one read has <second>, the first part of a head and then the rest of it
+    Then the client reads the statuses <statuses> and the connection stays open
+
+    Examples:
+      | before                     | first              | second                          | statuses    |
+      | the end of a long body     | a head of a body   | a body of 600 bytes             | 200 200     |
+      | a request with a long body | nothing            | a request with 600 bytes        | 200 200     |
+      | fourteen requests          | nothing            | fourteen requests               | 200 200 200 200 200 200 200 200 200 200 200 200 200 200 200 |
