Notice the end of an answer without a length as it arrives, also while its reader waits

Cause: the close of a connection that is not read was looked for each 20 ms, and the check whether the server runs takes 20 ms more, so that 10 ms were left.

Now the kernel reports the close (EPOLLRDHUP) on a descriptor of its own that the reactor waits for, from the first time that the reader is paused until the connection ends. The check begins at once, which leaves 30 ms, and nothing is looked for in between.

Evidence: the new scenario, without timers, fails on the code before (no check is made) and passes now.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -27,7 +27,12 @@
 )
 from foxtailproxy.http.response_copy import ResponseCopy
 from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner
-from foxtailproxy.http.transport import enable_tcp_keepalive, is_ended_by_peer, write_now
+from foxtailproxy.http.transport import (
+    EndNotice,
+    enable_tcp_keepalive,
+    is_ended_by_peer,
+    write_now,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -50,9 +55,6 @@
 RECENT_HEADS = 2
 """Number of responses whose copies are recognized if they are cut inside their head."""
 
-END_CHECK_INTERVAL_S = 0.02
-"""Interval between checks whether the server has closed a connection that is not read, in s."""
-
 MAX_WATCHES = 8
 """Connections by which the server of one body is watched, one after another; it may close them."""
 
@@ -144,7 +146,7 @@
         self._request_sent = True
         self._request_chunked = False
         self._reading_paused = False
-        self._end_watched = False
+        self._end_notice: EndNotice | None = None
         self._watch: ClientConnection | None = None
         self._watches_opened = 0
         self._was_reset = False
@@ -240,11 +242,8 @@
         if not self.closed and not self._reading_paused:
             self._reading_paused = True
             self.transport.pauseProducing()
-            if self.trace.framing == FRAMED_BY_CLOSE:
-                if not self._watches_opened:
-                    ensureDeferred(self._open_watch())  # type: ignore[arg-type]
-                if not self._end_watched:
-                    self._watch_end()
+            if self.trace.framing == FRAMED_BY_CLOSE and not self._watches_opened:
+                self._watch_for_end()
 
     def resume_body(self) -> None:
         """Resume reading the response."""
@@ -256,17 +255,16 @@
         """Abort the connection, since the rest of the response is not wanted."""
         self.fail(ExchangeCancelled())
 
-    def _watch_end(self) -> None:
+    def _watch_for_end(self) -> None:
+        if getattr(self.transport, "reactor", None) is not None:
+            self._end_notice = EndNotice(self.transport, self._server_closed)
+            self._end_notice.start()
+        ensureDeferred(self._open_watch())  # type: ignore[arg-type]
+
+    def _server_closed(self) -> None:
         """Confirm the end of a body when the server closes, not when its reader goes on."""
-        self._end_watched = False
-        reactor = getattr(self.transport, "reactor", None)
-        if reactor is None or self.closed or not self._reading_paused or self._end_confirmed:
-            return
-        if is_ended_by_peer(self.transport):
+        if not self.closed and self._end_confirmed is None:
             self._end_confirmed = ensureDeferred(self._confirm_end())  # type: ignore[arg-type]
-        else:
-            self._end_watched = True
-            reactor.callLater(END_CHECK_INTERVAL_S, self._watch_end)
 
     async def _open_watch(self) -> None:
         """Watch the server by another connection, until the body has ended.
@@ -346,6 +344,8 @@
         self.closed = True
         self.closed_regularly = reason is not None and reason.check(ConnectionDone) is not None
         self._end_exchange()
+        if self._end_notice is not None:
+            self._end_notice.close()
         if self._watch is not None:
             self._watch.abort()
         if self.on_closed is not None:
--- a/foxtailproxy/http/transport.py
+++ b/foxtailproxy/http/transport.py
@@ -5,14 +5,20 @@
 import ctypes
 import errno
 import fcntl
+import select
 import socket
 import struct
 import termios
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IReadDescriptor
 from twisted.python.failure import Failure
+from zope.interface import implementer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 log = structlog.get_logger()
 
@@ -52,6 +58,50 @@
     return state[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
 
 
+@implementer(IReadDescriptor)
+class EndNotice:
+    """Notice, while a connection is not read, that the remote end closed or reset it.
+
+    `on_ended` is called once, unless the notice is closed first.
+    """
+
+    def __init__(self, transport: Any, on_ended: Callable[[], None]) -> None:
+        self._reactor = transport.reactor
+        self._handle = transport.getHandle()
+        self._on_ended = on_ended
+        self._epoll = select.epoll()
+
+    def start(self) -> None:
+        """Wait for the end of the connection."""
+        self._epoll.register(self._handle, select.EPOLLRDHUP)
+        self._reactor.addReader(self)
+
+    def close(self) -> None:
+        """Stop waiting; has no effect the second time."""
+        if not self._epoll.closed:
+            self._reactor.removeReader(self)
+            self._epoll.close()
+
+    # Twisted read descriptor
+
+    def fileno(self) -> int:
+        """Return the descriptor that becomes readable when the connection ends."""
+        return self._epoll.fileno()
+
+    def doRead(self) -> None:  # noqa: N802
+        """Report the end of the connection."""
+        self.close()
+        self._on_ended()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Stop waiting, because the reactor stops."""
+        self.close()
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Return the name of this descriptor in the reactor's log."""
+        return type(self).__name__
+
+
 def has_unsent_bytes(transport: Any) -> bool:
     """Return whether bytes that were written are still in the memory of this process."""
     return bool(getattr(transport, "dataBuffer", b"") or getattr(transport, "_tempDataBuffer", ()))
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -67,6 +67,12 @@
     When the reader of the response goes on after that
     Then that answer is complete
 
+  # Guards against a whole answer that is refused because its end was looked for only after its process had ended.
+  Scenario: The end of an answer without a length is noticed as it arrives, while its reader waits
+    Given a connection whose reader takes no more of an answer without a length
+    When the server closes the connection
+    Then it is checked whether the server runs, before any timer has run
+
   # Guards against a whole answer that is refused because the server has no room for one more connection.
   Scenario: A whole response without a length ends while the server accepts no further connection
     Given a server whose queue of new connections is full when it closes a whole response without a length
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -12,7 +12,7 @@
 
 from behave import given, then, when
 from twisted.internet import reactor, threads
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
@@ -161,6 +161,70 @@
     assert context.search_s * 1000 < limit_ms, f"{context.search_s * 1000:.0f} ms"
 
 
+class PollingReactor:
+    """Reactor without timers that calls its readers once they are readable."""
+
+    def __init__(self) -> None:
+        self.readers: list[Any] = []
+
+    def addReader(self, reader: Any) -> None:  # noqa: N802
+        """Add a reader."""
+        self.readers.append(reader)
+
+    def removeReader(self, reader: Any) -> None:  # noqa: N802
+        """Remove a reader."""
+        self.readers.remove(reader)
+
+    def callLater(self, *call: Any) -> None:  # noqa: N802
+        """Ignore a call, which time would have to pass for."""
+
+    def poll(self) -> None:
+        """Call the readers that become readable within a second."""
+        for reader in select.select(self.readers, [], [], 1 if self.readers else 0)[0]:
+            reader.doRead()
+
+
+class SocketTransport(ClientTransport):
+    """In-memory transport that tells the state of a real connection."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reactor = PollingReactor()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.socket = socket.create_connection(listener.getsockname())
+            self.server, _ = listener.accept()
+
+    def getHandle(self) -> Any:  # noqa: N802
+        """Return the socket."""
+        return self.socket
+
+
+@given("a connection whose reader takes no more of an answer without a length")
+def step_waiting_reader(context: Any) -> None:
+    transport = SocketTransport()
+    context.add_cleanup(transport.socket.close)
+    context.add_cleanup(transport.server.close)
+    context.connection, context.checks = ClientConnection(), []
+    context.connection.confirm_end = lambda: context.checks.append(Deferred()) or context.checks[-1]
+    context.connection.transport = transport
+    response = context.connection.request(RequestHead(b"GET", b"/", []), BodyStream.from_bytes(b""))
+    context.connection.dataReceived(PLAIN_RESPONSE + FIRST_PART)
+    context.response = response.result
+
+
+@when("the server closes the connection")
+def step_server_closes(context: Any) -> None:
+    context.connection.transport.server.close()
+    context.connection.transport.reactor.poll()
+
+
+@then("it is checked whether the server runs, before any timer has run")
+def step_checked(context: Any) -> None:
+    assert len(context.checks) == 1, context.checks
+    context.connection.connectionLost(Failure(ConnectionDone()))
+    assert not context.connection.transport.reactor.readers
+
+
 # Servers on real sockets, in threads of their own, since the reactor's is kept busy
 
 
