Check the server again if it closed while the end of another connection was checked

Seen by callers: a part of an answer without a length could count as whole. Cause: while a slow reader waits, the server is watched by a second connection; the end of that one begins a check whether the server runs. If the server was killed during that check, its verdict was taken for the answer's own close, though the last connections of a killed process may be reset up to 2.1 ms after the first.

Now such a verdict counts only if the answer's connection is still open after it; otherwise the server is checked again. The same holds for a close that arrives during the check and is not read yet.

Evidence: by reading, and the first row of the new table, which fails on the code before (complete, with a second verdict of a server that does not run) and passes now; the other rows hold on both.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -288,7 +288,10 @@
     async def _confirm_end_of_watch(self) -> bool:
         """Return whether the server runs after the end of the watch, and watch it again if so."""
         runs = await self._confirm_end()
-        if runs and not self.closed:
+        if runs and self.ended_by_peer:
+            # The server closed during the check, which may have been too early for that.
+            return await self._confirm_end()
+        if runs:
             self._end_confirmed = None
             await self._open_watch()
         return runs
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -73,6 +73,20 @@
     When the server closes the connection
     Then it is checked whether the server runs, before any timer has run
 
+  # Guards against a part of an answer that looks whole since the check had begun before the server was killed.
+  Scenario Outline: A server closes <when> the check that the end of another connection has caused
+    Given a connection whose reader takes no more of an answer without a length
+    When another connection to the server ends, and the server closes <when> the check, which finds that it <verdicts>
+    Then that answer is <expected>
+
+    Examples:
+      | when   | verdicts                   | expected     |
+      | during | runs, and later that it does not | not complete |
+      | during | runs, and later that it runs     | complete     |
+      | after  | runs, and later that it does not | not complete |
+      | after  | runs, and later that it runs     | complete     |
+      | during | does not run                     | not complete |
+
   # Guards against a whole answer that is refused because the server has no room for one more connection.
   Scenario: A whole response without a length ends while the server accepts no further connection
     Given a server whose queue of new connections is full when it closes a whole response without a length
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -225,6 +225,26 @@
     assert not context.connection.transport.reactor.readers
 
 
+@when(
+    "another connection to the server ends, and the server closes {when} the check, which finds "
+    "that it {verdicts}"
+)
+def step_closes_beside_check(context: Any, when: str, verdicts: str) -> None:
+    sink = RecordingSink()
+    context.response.body.attach(sink)
+    connection, checks = context.connection, context.checks
+    connection._watch_ended()
+    found = [verdict == "runs" for verdict in verdicts.split(", and later that it ")]
+    if when == "during":
+        connection.connectionLost(Failure(ConnectionDone()))
+    for number, runs in enumerate(found):
+        if len(checks) > number:
+            checks[number].callback(runs)
+        if not number and when == "after":
+            connection.connectionLost(Failure(ConnectionDone()))
+    context.end = sink.end
+
+
 # Servers on real sockets, in threads of their own, since the reactor's is kept busy
 
 
