Cut an answer whose end could not be checked

Seen by callers: an answer without a length would never end if the check whether its server runs broke off with an error. Cause: the error was logged, and the body stayed open.

Now the body fails, as one that was cut. Evidence: by reading; the new scenario fails on the code before (the body is open) and passes now.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -367,7 +367,7 @@
                 self._fail(StrayResponse())
                 return
             completion: Any = ensureDeferred(self._complete_if_confirmed(body))
-            completion.addErrback(_log_unhandled)
+            completion.addErrback(self._end_check_failed)
             return
         self._fail(ConnectionLost())
 
@@ -386,6 +386,12 @@
         self.trace.ended_by = ENDED_BY_CLOSE
         body.end()
 
+    def _end_check_failed(self, failure: Any) -> None:
+        log.error(
+            "response_end_failed", error=repr(failure.value), traceback=failure.getTraceback()
+        )
+        self._fail(ConnectionLost())
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
@@ -571,7 +577,3 @@
             # The transport reports the end of the connection in a later iteration of the reactor.
             self.closed = True
             self.transport.abortConnection()
-
-
-def _log_unhandled(failure: Any) -> None:
-    log.error("response_end_failed", error=repr(failure.value), traceback=failure.getTraceback())
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -87,6 +87,12 @@
       | after  | runs, and later that it runs     | complete     |
       | during | does not run                     | not complete |
 
+  # Guards against an answer that never ends for its reader.
+  Scenario: The check whether the server runs breaks off with an error
+    Given a connection whose reader takes no more of an answer without a length
+    When the server closes, and the check breaks off with an error
+    Then the reader of that answer learns that it is cut
+
   # Guards against a whole answer that is refused because the server has no room for one more connection.
   Scenario: A whole response without a length ends while the server accepts no further connection
     Given a server whose queue of new connections is full when it closes a whole response without a length
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -25,7 +25,7 @@
 from foxtailproxy.http.pool import ConnectionPool
 from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner
 from foxtailproxy.platform.dialect import PlatformDialect
-from foxtailproxy.tests.fakes import make_call
+from foxtailproxy.tests.fakes import captured_log, make_call
 from foxtailproxy.tests.steps.client_connection import ClientTransport, EndSink
 from foxtailproxy.tests.upstream_fakes import TargetWithUpstream
 
@@ -245,6 +245,22 @@
     context.end = sink.end
 
 
+@when("the server closes, and the check breaks off with an error")
+def step_check_fails(context: Any) -> None:
+    sink = RecordingSink()
+    context.response.body.attach(sink)
+    with captured_log() as context.log_entries:
+        context.connection.connectionLost(Failure(ConnectionDone()))
+        context.checks[0].errback(OSError("no descriptors left"))
+    context.end = sink.end
+
+
+@then("the reader of that answer learns that it is cut")
+def step_cut(context: Any) -> None:
+    assert context.end == "cut", context.end
+    assert [entry["event"] for entry in context.log_entries] == ["response_end_failed"]
+
+
 # Servers on real sockets, in threads of their own, since the reactor's is kept busy
 
 
