Compare how a copy ends before it completes an answer without a length

Seen by callers: a part of an answer without a length looked whole (200, no error). Cause: a second copy whose body was the same as the one before it counted as complete at the close of the connection, also if its length or its chunks told that the rest was missing, and without a check whether the server runs. An upstream that cuts both alike, or is killed at that place, also right behind both heads, sends that.

Now the close completes only a copy that has neither length nor chunks, and only if the server runs, as it does for an answer that is sent once.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -360,10 +360,9 @@
         # reset.
         closed_cleanly = self.closed_regularly and not self._was_reset
         if closed_cleanly and body is not None and self.trace.framing == FRAMED_BY_CLOSE:
-            if self._copy is not None and self._copy.agrees:
-                self._complete_by_copy(body)
-                return
-            if self._copy is not None or self._ends_inside_copy():
+            copy = self._copy
+            may_be_whole = not self._ends_inside_copy() if copy is None else copy.agrees_at_close
+            if not may_be_whole:
                 self._fail(StrayResponse())
                 return
             completion: Any = ensureDeferred(self._complete_if_confirmed(body))
@@ -383,7 +382,7 @@
             self._fail(ConnectionLost())
             return
         self._response_body = None
-        self.trace.ended_by = ENDED_BY_CLOSE
+        self.trace.ended_by = ENDED_BY_CLOSE if self._copy is None else ENDED_BY_COPY
         body.end()
 
     def _end_check_failed(self, failure: Any) -> None:
--- a/foxtailproxy/http/response_copy.py
+++ b/foxtailproxy/http/response_copy.py
@@ -17,13 +17,19 @@
         self._body = b""
         self._head_complete = False
         self._complete = False
+        self._has_framing = False
         self._parser = httptools.HttpResponseParser(self)
 
     @property
     def agrees(self) -> bool:
-        """Whether the copy is complete, also by the end of the connection, with the same body."""
+        """Whether the body of the copy so far is the same."""
         return self._head_complete and self._body == self._expected
 
+    @property
+    def agrees_at_close(self) -> bool:
+        """Whether the body is the same if only the end of the connection completes the copy."""
+        return self.agrees and not self._has_framing
+
     def feed(self, data: bytes) -> bool:
         """Read the next bytes; return whether the copy is complete by its own framing, or wrong."""
         try:
@@ -36,6 +42,11 @@
 
     # Parser callbacks
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record whether the copy tells where its body ends."""
+        if name.lower() in (b"content-length", b"transfer-encoding"):
+            self._has_framing = True
+
     def on_headers_complete(self) -> None:
         """Record that the head of the copy is complete."""
         self._head_complete = True
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -13,6 +13,20 @@
       | with its status line                  | 17    |
       | between CR and LF after a header      | 46    |
 
+  # Guards against a part of an answer that looks whole: its copy is cut at the same place.
+  Scenario Outline: A part of a body without a length and a copy <copy> that is cut likewise, from a server that <state>
+    Given a connection that has carried an earlier answer, to a server that <state>
+    When <count> bytes of its answer without a length are followed by a copy <copy> with as many, and a close
+    Then that answer is <expected>
+
+    Examples:
+      | count | copy             | state | expected     |
+      | 70    | with a length    | runs  | not complete |
+      | 70    | in chunks        | runs  | not complete |
+      | 0     | with a length    | runs  | not complete |
+      | 70    | without a length | ends  | not complete |
+      | 150   | without a length | runs  | complete     |
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -139,6 +139,46 @@
     assert (context.end == "complete") == (expected == "complete"), context.end
 
 
+async def _has_ended() -> bool:
+    return False
+
+
+@given("a connection that has carried an earlier answer, to a server that {state}")
+def step_earlier_answer_of(context: Any, state: str) -> None:
+    step_earlier_answer(context)
+    context.connection.confirm_end = _runs if state == "runs" else _has_ended
+
+
+def _answer_to_waiting_reader(context: Any, *reads: bytes) -> None:
+    """Receive the answer to attempt 2, and the close, before its body is read."""
+    sink = RecordingSink()
+    response = context.connection.request(
+        RequestHead(b"GET", b"/", []), BodyStream.from_bytes(b""), AnswerMatcher(DIALECT, "2")
+    )
+    for data in reads:
+        if not context.connection.closed:
+            context.connection.dataReceived(data)
+    if not context.connection.closed:
+        context.connection.connectionLost(Failure(ConnectionDone()))
+    response.addCallbacks(lambda found: found.body.attach(sink), sink.body_failed)
+    context.end = sink.end
+
+
+@when(
+    "{count:d} bytes of its answer without a length are followed by a copy {framing} with as many, "
+    "and a close"
+)
+def step_cut_alike(context: Any, count: int, framing: str) -> None:
+    head = HEAD % b"2"
+    copy_start = {
+        "with a length": head + b"Content-Length: %d\r\n\r\n" % len(BODY),
+        "in chunks": head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(BODY),
+        "without a length": head + b"\r\n",
+    }[framing]
+    part = BODY[:count]
+    _answer_to_waiting_reader(context, head + b"\r\n" + part, copy_start + part)
+
+
 @when("10 KiB of {what} are searched for heads {count:d} bytes at a time")
 def step_search(context: Any, what: str, count: int) -> None:
     unit = {
