Search for the head of a copy across the end of a body with a length

Seen by callers: an answer of the right size (200, with a length) that ends with the first bytes of another one. Cause: where a copy, of the answer itself or of an earlier one, begins so late inside a body with a length that the header with its attempt lies behind the end, the search ended with the body. What followed could not be parsed, but the body had been delivered by then.

Now what was read behind the last byte of the body is searched on. A head of an answered attempt that begins inside the body fails the exchange; other bytes that follow are ignored, as before. A copy of which exactly the part up to the end of the body comes in one read, and the rest in a later one, is still not seen.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -154,6 +154,7 @@
         self._recent_heads: deque[messages.ResponseHead] = deque(maxlen=RECENT_HEADS)
         self._response_id: str | None = None
         self._scanner: StrayHeadScanner | None = None
+        self._read = b""
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -329,6 +330,7 @@
         if self.on_data_received is not None:
             self.on_data_received(self)
         self._overhead_bytes += len(data)
+        self._read = data
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -337,6 +339,8 @@
                 self._fail(cause if isinstance(cause, HttpError) else MalformedResponse())
             self.abort()
             return
+        finally:
+            self._read = b""
         if self._message_complete:
             self._exchange_done()
         elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
@@ -495,11 +499,30 @@
                 self.trace.stray_heads += 1
                 self._begin_copy(body, self._scanner, data)
                 return
+            if body.size + len(data) == body.length and self._ends_inside_stray_head(data):
+                raise StrayResponse
             body.feed(data)
         elif self._is_head_request:
             # A response to HEAD has no body, so these are the bytes of another one.
             self._unexpected_response = True
 
+    def _ends_inside_stray_head(self, end: bytes) -> bool:
+        """Return whether a stray head begins in a body, whose `end` was read, and goes on after it.
+
+        Bytes that follow a body belong to no response, unless they continue what began inside it.
+        """
+        scanner = self._scanner
+        if scanner is None:
+            return False
+        _, found, rest = self._read.partition(b"\r\n\r\n" + end)
+        if not found:
+            # The head came in an earlier read.
+            rest = self._read[len(end) :]
+        body_size = scanner.size
+        begins_inside = scanner.feed(rest) and scanner.stray_start < body_size
+        self.trace.stray_heads += begins_inside
+        return begins_inside
+
     def _begin_copy(self, body: BodyStream, scanner: StrayHeadScanner, data: bytes) -> None:
         """Read the second copy of the response that is being received. Raises `StrayResponse`."""
         assert self._matcher is not None
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -48,10 +48,11 @@
     """Scanner for heads with a header for which `is_stray` is true.
 
     A body may quote a response, so a head counts only if one of its headers says whose it is.
-    `stray_start` is the offset in the body of the head that was found, `stray_header` that header.
+    `stray_start` is the offset in the body of the head that was found, `stray_header` that header,
+    and `size` the number of bytes that were scanned.
     """
 
-    __slots__ = ("stray_header", "stray_start", "_is_stray", "_pending", "_in_head", "_size")
+    __slots__ = ("stray_header", "stray_start", "_is_stray", "_pending", "_in_head", "size")
 
     def __init__(self, is_stray: Callable[[HeaderList], bool]) -> None:
         self.stray_header: HeaderList = []
@@ -59,11 +60,11 @@
         self._is_stray = is_stray
         self._pending = bytearray()
         self._in_head = False
-        self._size = 0
+        self.size = 0
 
     def feed(self, data: bytes) -> bool:
         """Scan the next bytes of the body; return whether a stray head is among them."""
-        self._size += len(data)
+        self.size += len(data)
         window = self._pending
         searched = max(0, len(window) - 1)
         window += data
@@ -102,7 +103,7 @@
             self._in_head = STATUS_LINE.fullmatch(line) is not None
             if self._in_head:
                 self.stray_header = []
-                self.stray_start = self._size - len(self._pending) + position
+                self.stray_start = self.size - len(self._pending) + position
             return False
         self._in_head = HEADER_LINE.fullmatch(line) is not None
         if not self._in_head:
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -27,6 +27,30 @@
       | 70    | without a length | ends  | not complete |
       | 150   | without a length | runs  | complete     |
 
+  # Guards against an answer of the right size that ends with the first bytes of another one.
+  Scenario Outline: The head of a copy of <whose> answer crosses the end of a body with a length, in <reads>
+    Given a connection that has carried an earlier answer
+    When the last <count> bytes of its answer with a length are those of a copy of <whose> answer, in <reads>
+    Then that answer is not complete
+
+    Examples:
+      | whose       | count | reads     |
+      | its own     | 20    | one read  |
+      | its own     | 40    | two reads |
+      | the earlier | 15    | one read  |
+      | the earlier | 46    | two reads |
+
+  # Guards against a whole answer that is refused because of what follows it.
+  Scenario Outline: A body with a length that ends inside a quoted head is followed by <what>
+    Given a connection that has carried an earlier answer
+    When its answer that ends inside a quoted head is followed by <what>
+    Then that answer is complete
+
+    Examples:
+      | what             |
+      | a copy of it     |
+      | other bytes      |
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -179,6 +179,24 @@
     _answer_to_waiting_reader(context, head + b"\r\n" + part, copy_start + part)
 
 
+@when(
+    "the last {count:d} bytes of its answer with a length are those of a copy of {whose} answer, "
+    "in {reads}"
+)
+def step_crossing_copy(context: Any, count: int, whose: str, reads: str) -> None:
+    start = HEAD % b"2" + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY[:-count]
+    attempt = b"2" if whose == "its own" else b"1"
+    copy = HEAD % attempt + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY
+    _answer(context, *([start + copy] if reads == "one read" else [start, copy]))
+
+
+@when("its answer that ends inside a quoted head is followed by {what}")
+def step_quoted_end_and_more(context: Any, what: str) -> None:
+    body = b"the log: HTTP/1.1 200 OK\r\nx-f"
+    answer = HEAD % b"2" + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    _answer(context, answer + (answer if "copy" in what else b"other bytes\r\n\r\n"))
+
+
 @when("10 KiB of {what} are searched for heads {count:d} bytes at a time")
 def step_search(context: Any, what: str, count: int) -> None:
     unit = {
