Refuse an answer whose head begins with a part of the head of another one

Seen by callers: an answer with the status of another one (200 in place of 404), or the first bytes of a body as if they were all of it, both complete; or 504 at the deadline for a look-up that could have been sent again. Cause: a late copy that was cut inside the value of a header runs into the status line of the answer, which becomes the rest of that value. The parser reads one head, with the status and the first headers of the copy and the attempt of the answer.

Now a head with a status line inside a value fails the exchange: a look-up is sent again, any other call is unknown. A value that is itself a status line is allowed, so that a copy cut exactly before a value is not recognized; an answer with a header that has one behind other text is refused.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -26,7 +26,7 @@
     StrayResponse,
 )
 from foxtailproxy.http.response_copy import ResponseCopy
-from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner
+from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner, holds_cut_head
 from foxtailproxy.http.transport import (
     EndNotice,
     enable_tcp_keepalive,
@@ -419,6 +419,8 @@
         status = self._parser.get_status_code()
         if status < 200 or self._response_deferred is None:
             return
+        if self._matcher is not None and holds_cut_head(self._headers):
+            raise StrayResponse
         head = messages.ResponseHead(status, self._reason, self._headers)
         if self._matcher is not None and not self._matcher.accepts(head):
             self._skip_response(status)
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -13,6 +13,7 @@
 START = b"HTTP/1."
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?")
 STATUS_START = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
+STATUS_IN_VALUE = re.compile(rb"[^\r\n]HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
 STATUS_BYTES = len(b"HTTP/1.1 200")
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*")
 LINE_END = b"\r\n"
@@ -123,6 +124,14 @@
         return self.stray_header[0] in head.headers
 
 
+def holds_cut_head(headers: HeaderList) -> bool:
+    """Return whether a head that was cut inside a header continues with the status line of another.
+
+    A value that is itself a status line is none that was cut.
+    """
+    return any(STATUS_IN_VALUE.search(value) for _, value in headers)
+
+
 def _partial_start_size(window: bytearray) -> int:
     """Return how many bytes at the end of `window` may begin a status line."""
     for size in range(min(len(START) - 1, len(window)), 0, -1):
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -51,6 +51,24 @@
       | a copy of it     |
       | other bytes      |
 
+  # Guards against an answer with the status or the length of another one, whose copy was cut in its head.
+  Scenario Outline: A part of a copy that ends <where> precedes the answer
+    Given a connection that has carried an earlier answer
+    When a part of a copy that ends <where> precedes its answer
+    Then its exchange has failed at once
+
+    Examples:
+      | where                                      |
+      | inside a header before the attempt         |
+      | inside a header after the length           |
+      | inside a header after the attempt          |
+
+  # Guards against a whole answer that is refused because a header quotes a status line.
+  Scenario: An answer with a header that is a status line is complete
+    Given a connection that has carried an earlier answer
+    When its answer has a header that is a status line
+    Then that answer is complete
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -197,6 +197,28 @@
     _answer(context, answer + (answer if "copy" in what else b"other bytes\r\n\r\n"))
 
 
+@when("a part of a copy that ends {where} precedes its answer")
+def step_part_before(context: Any, where: str) -> None:
+    part = {
+        "inside a header before the attempt": STATUS_LINE + b"Content-Type: te",
+        "inside a header after the length": STATUS_LINE + b"Content-Length: 2\r\nServer: a",
+        "inside a header after the attempt": HEAD % b"1" + b"Content-Type: te",
+    }[where]
+    length = b"" if "length" in where else b"Content-Length: %d\r\n" % len(BODY)
+    context.sink = _exchange(context.connection, "2")
+    context.connection.dataReceived(part + HEAD % b"2" + length + b"\r\n" + BODY)
+
+
+@then("its exchange has failed at once")
+def step_failed_at_once(context: Any) -> None:
+    assert (context.sink.end, context.connection.closed) == ("cut", True), context.sink.end
+
+
+@when("its answer has a header that is a status line")
+def step_quoting_header(context: Any) -> None:
+    _answer(context, HEAD % b"2" + b"X-Origin: HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
 @when("10 KiB of {what} are searched for heads {count:d} bytes at a time")
 def step_search(context: Any, what: str, count: int) -> None:
     unit = {
