Find the expected answer behind a skipped copy that was cut

Seen by callers: 504 at the deadline, also for a look-up, although its answer had arrived. Cause: a late copy with a length that was cut inside its body is skipped up to that length, so that it takes the answer that follows, and what is still missing is waited for.

Now what is skipped is searched for the head of a response that names another attempt than the copy, or another process. One that is found fails the exchange at once: a look-up is sent again, any other call is unknown (502). A copy that quotes such a response is taken for one that was cut.

Evidence: the new row failed before (answer_ends.feature: 46 passed, 1 failed) and passes now (47 passed, 0 failed); answer_bytes.feature: 65 passed, 0 failed.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -473,6 +473,12 @@
         if self._framing() == FRAMED_BY_CLOSE and status not in messages.BODILESS_STATUSES:
             # All that follows would be its body, including the expected response.
             raise StrayResponse
+        matcher = self._matcher
+        assert matcher is not None
+        skipped_id = matcher.response_id(self._headers)
+        self._scanner = StrayHeadScanner(
+            lambda headers: matcher.response_id(headers) not in (NO_RESPONSE_ID, None, skipped_id)
+        )
 
     def _framing(self) -> str:
         if messages.get_header(self._headers, b"content-length") is not None:
@@ -504,6 +510,10 @@
             if body.size + len(data) == body.length and self._ends_inside_stray_head(data):
                 raise StrayResponse
             body.feed(data)
+        elif self._skipping_response:
+            if self._scanner is not None and self._scanner.feed(data):
+                # The skipped response was cut, and what follows it is read as its body.
+                raise StrayResponse
         elif self._is_head_request:
             # A response to HEAD has no body, so these are the bytes of another one.
             self._unexpected_response = True
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -62,6 +62,7 @@
       | inside a header before the attempt         |
       | inside a header after the length           |
       | inside a header after the attempt          |
+      | inside its body with a length              |
 
   # Guards against a whole answer that is refused because a header quotes a status line.
   Scenario: An answer with a header that is a status line is complete
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -203,6 +203,7 @@
         "inside a header before the attempt": STATUS_LINE + b"Content-Type: te",
         "inside a header after the length": STATUS_LINE + b"Content-Length: 2\r\nServer: a",
         "inside a header after the attempt": HEAD % b"1" + b"Content-Type: te",
+        "inside its body with a length": HEAD % b"1" + b"Content-Length: 900\r\n\r\n" + BODY,
     }[where]
     length = b"" if "length" in where else b"Content-Length: %d\r\n" % len(BODY)
     context.sink = _exchange(context.connection, "2")
