Take no end of a connection for regular that a write found lost by a timeout

Seen by callers: a part of an answer without a length looked whole. Cause: the kernel reports the loss of a connection once. If a write of the request gets that report, the next read sees a regular end; this was handled for a reset only, not for a connection that was given up since its packets were not acknowledged (ETIMEDOUT), nor for any other error.

Now each error of a write but EPIPE counts as the loss. EPIPE is reported after the regular end has arrived.

The sockets of the table are fakes; no timeout of a real one was played.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -149,7 +149,7 @@
         self._end_notice: EndNotice | None = None
         self._watch: ClientConnection | None = None
         self._watches_opened = 0
-        self._was_reset = False
+        self._was_lost = False
         self._matcher: ResponseMatcher | None = None
         self._recent_heads: deque[messages.ResponseHead] = deque(maxlen=RECENT_HEADS)
         self._response_id: str | None = None
@@ -215,9 +215,10 @@
         return deferred
 
     def _write(self, data: bytes) -> None:
-        if write_now(self.transport, data) == errno.ECONNRESET:
-            # The kernel reports a reset once: the next read sees a regular end.
-            self._was_reset = True
+        if write_now(self.transport, data) not in (0, errno.EPIPE):
+            # The kernel reports a reset or a timeout once: the next read sees a regular end. A
+            # connection that the server closed before has had that end.
+            self._was_lost = True
 
     # Request body
 
@@ -362,7 +363,7 @@
         body = self._response_body
         # A body without a declared length is complete when the connection closes, unless it was
         # reset.
-        closed_cleanly = self.closed_regularly and not self._was_reset
+        closed_cleanly = self.closed_regularly and not self._was_lost
         if closed_cleanly and body is not None and self.trace.framing == FRAMED_BY_CLOSE:
             copy = self._copy
             may_be_whole = not self._ends_inside_copy() if copy is None else copy.agrees_at_close
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -70,6 +70,18 @@
     When its answer has a header that is a status line
     Then that answer is complete
 
+  # Guards against a part of an answer that looks whole: a lost connection is found by a write, after which the end looks regular.
+  Scenario Outline: A write is the first to find that the connection is lost, with <error>
+    Given a connection that carries a request that is not sent yet, and a part of an answer without a length
+    When a write fails with <error>, and the next read finds the end
+    Then that answer is <expected>
+
+    Examples:
+      | error      | expected     |
+      | ECONNRESET | not complete |
+      | ETIMEDOUT  | not complete |
+      | EPIPE      | complete     |
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 import struct
@@ -220,6 +221,42 @@
     _answer(context, HEAD % b"2" + b"X-Origin: HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
 
+class FailingSocket:
+    """Socket that reports the loss of its connection to a write."""
+
+    error = 0
+
+    def send(self, data: bytes) -> int:
+        """Accept the bytes, or fail."""
+        if self.error:
+            raise OSError(self.error, "lost")
+        return len(data)
+
+
+@given(
+    "a connection that carries a request that is not sent yet, and a part of an answer without "
+    "a length"
+)
+def step_unsent_request(context: Any) -> None:
+    transport = ClientTransport()
+    transport.socket, transport.disconnecting = FailingSocket(), False
+    context.connection, context.request_body = ClientConnection(), BodyStream(None)
+    context.connection.makeConnection(transport)
+    context.connection.confirm_end = _runs
+    response = context.connection.request(RequestHead(b"POST", b"/", []), context.request_body)
+    context.connection.dataReceived(PLAIN_RESPONSE + BODY[:70])
+    context.sink = RecordingSink()
+    response.addCallback(lambda found: found.body.attach(context.sink))
+
+
+@when("a write fails with {error}, and the next read finds the end")
+def step_write_fails(context: Any, error: str) -> None:
+    context.connection.transport.socket.error = getattr(errno, error)
+    context.request_body.feed(b"more of the request")
+    context.connection.connectionLost(Failure(ConnectionDone()))
+    context.end = context.sink.end
+
+
 @when("10 KiB of {what} are searched for heads {count:d} bytes at a time")
 def step_search(context: Any, what: str, count: int) -> None:
     unit = {
