Free the slot of an answer without a length before its end is confirmed

Seen by callers: calls wait for a slot although the upstream has one free, and are refused as overloaded or past their deadline. Cause: the check whether the server runs takes 20 ms or more, during which the call kept its slot. With two slots and answers that come at once, a target answers 100 calls a second.

Now the slot is free once the server has closed the connection; the answer still waits for the check. The connection of the check is not kept while another one is busy, since a server that serves one connection at a time would wait for it first. What this gives up: a call that waits for the slot is sent before it is known whether the upstream was killed, as after answers with a length or in chunks, and the connection of the check may be open beside calls in all slots.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -110,12 +110,13 @@
     """Connection to a server.
 
     `on_idle` is called after each exchange that leaves the connection reusable, `on_closed` once
-    when it is closed. `confirm_end` tells whether the server still runs; without it, a body that
-    the end of the connection ends is not complete. `open_watch` opens another connection, which
-    ends when the server does. `exchange_count` counts the requests sent on the connection, `trace`
-    describes the latest exchange. `was_idle` is whether the connection was kept
-    open without an exchange, so that the server may have closed it by now. `closed_regularly` is
-    whether it is closed, and was not reset.
+    when it is closed. `on_response_read` is called when the server has closed the connection after
+    a response without a length, before its end is confirmed. `confirm_end` tells whether the server
+    still runs; without it, a body that the end of the connection ends is not complete. `open_watch`
+    opens another connection, which ends when the server does. `exchange_count` counts the requests
+    sent on the connection, `trace` describes the latest exchange. `was_idle` is whether the
+    connection was kept open without an exchange, so that the server may have closed it by now.
+    `closed_regularly` is whether it is closed, and was not reset.
     """
 
     transport: Any = None
@@ -124,6 +125,7 @@
         self.on_idle: Callable[[ClientConnection], None] | None = None
         self.on_closed: Callable[[ClientConnection], None] | None = None
         self.on_interim: Callable[[messages.HeaderList], None] | None = None
+        self.on_response_read: Callable[[], None] | None = None
         self.confirm_end: Callable[[], Awaitable[bool]] | None = None
         self.open_watch: (
             Callable[[Callable[[], None]], Awaitable[ClientConnection | None]] | None
@@ -370,6 +372,8 @@
             if not may_be_whole:
                 self._fail(StrayResponse())
                 return
+            if self.on_response_read is not None:
+                self.on_response_read()
             completion: Any = ensureDeferred(self._complete_if_confirmed(body))
             completion.addErrback(self._end_check_failed)
             return
--- a/foxtailproxy/http/pool.py
+++ b/foxtailproxy/http/pool.py
@@ -88,7 +88,9 @@
             self._idle.pop()
             if not connection.closed:
                 return connection
-        return await self._open()
+        connection = await self._open()
+        self._close_unused()
+        return connection
 
     def _idle_ms(self, connection: ClientConnection) -> float:
         return self._reactor.seconds() * 1000 - connection.idle_since_ms
@@ -208,7 +210,7 @@
         return None if watch.closed else watch
 
     def _keep_unused(self, connection: ClientConnection) -> None:
-        if self._idle:
+        if self._idle or any(other.busy for other in self._open_connections):
             connection.abort()
         else:
             self.release(connection)
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -491,6 +491,11 @@
             self._answer_received(active_call, response)
         else:
             response.body.on_done = lambda: self._answer_received(active_call, response)
+            if active_call.connection is not None:
+                # The upstream's slot is free, whether or not it still runs.
+                active_call.connection.on_response_read = lambda: self.admission.release(
+                    active_call.ticket
+                )
 
     def _answer_received(self, active_call: ActiveCall, response: ClientResponse) -> None:
         self._release(active_call)
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -205,3 +205,20 @@
     Given a server that serves one connection at a time, without a length
     When two calls are sent, each on a new connection
     Then both get their answers within 1000 ms
+
+  # Guards against a call that waits for a slot although the upstream has answered the one before.
+  Scenario: A call gets the slot of an answer without a length whose end is being confirmed
+    Given an upstream that answers without a length, and a check of its ends that takes long
+    When one call more than it has slots is sent
+    Then each has its answer, and is complete after the check
+
+  # Guards against a call that waits behind the connection of the check, which is kept for a later one.
+  Scenario Outline: A server with one slot that serves one connection at a time gets a call <when> the check
+    Given a server that serves one connection at a time, without a length
+    When two calls are sent for its only slot, the second <when> the check
+    Then both get their answers within 1000 ms
+
+    Examples:
+      | when   |
+      | before |
+      | during |
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -13,20 +13,23 @@
 
 from behave import given, then, when
 from twisted.internet import reactor, threads
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
-from foxtailproxy.dialect import AnswerMatcher
+from foxtailproxy.clock import Clock
+from foxtailproxy.dialect import AnswerMatcher, FoxtailDialect
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.client import ClientConnection
 from foxtailproxy.http.messages import RequestHead
-from foxtailproxy.http.pool import ConnectionPool
+from foxtailproxy.http.pool import CONFIRM_DELAY_MS, ConnectionPool
 from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner
+from foxtailproxy.models.messages import Announcement
 from foxtailproxy.platform.dialect import PlatformDialect
-from foxtailproxy.tests.fakes import captured_log, make_call
+from foxtailproxy.target import Target
+from foxtailproxy.tests.fakes import NullTargetListener, captured_log, make_call
 from foxtailproxy.tests.steps.client_connection import ClientTransport, EndSink
 from foxtailproxy.tests.upstream_fakes import TargetWithUpstream
 
@@ -676,3 +679,97 @@
 @then("both are answered")
 def step_both_answered(context: Any) -> None:
     assert context.results == ["complete", "complete"], context.results
+
+
+class ClosingUpstream(Protocol):
+    """Upstream that answers without a length, at once."""
+
+    transport: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Count the connection."""
+        self.factory.connections += 1
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Answer, and close."""
+        attempt = data.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+        self.transport.write(HEAD % attempt + b"\r\n" + BODY)
+        self.transport.loseConnection()
+
+
+@given("an upstream that answers without a length, and a check of its ends that takes long")
+def step_long_check(context: Any) -> None:
+    context.live = threads.blockingCallFromThread(
+        reactor, TargetWithUpstream, "scripted", True, ClosingUpstream
+    )
+    context.checks = []
+    context.live.target._pool.may_run = lambda: (
+        context.checks.append(Deferred()) or context.checks[-1]
+    )
+
+
+@when("one call more than it has slots is sent")
+def step_calls_beyond_slots(context: Any) -> None:
+    async def run() -> list[str]:
+        target, clock = context.live.target, context.live.clock
+        sends = [
+            ensureDeferred(target.run(make_call(clock, 1000, rule={"idempotent": True})))
+            for _ in range(target.announcement.slots + 1)
+        ]
+        outcomes = await gatherResults(sends)
+        await deferLater(reactor, PAUSE_S)
+        for check in context.checks:
+            check.callback(True)
+        ends = []
+        for outcome in outcomes:
+            sink = EndSink()
+            if outcome.is_ok():
+                outcome.ok.body.attach(sink)
+            ends.append(await sink.end if outcome.is_ok() else str(outcome.error.reason))
+        return ends
+
+    context.results = threads.blockingCallFromThread(reactor, lambda: ensureDeferred(run()))
+
+
+@then("each has its answer, and is complete after the check")
+def step_all_complete(context: Any) -> None:
+    assert context.results == ["complete"] * len(context.results), context.results
+
+
+@when("two calls are sent for its only slot, the second {when} the check")
+def step_call_one_slot(context: Any, when: str) -> None:
+    async def run() -> list[str]:
+        clock: Any = Clock(reactor)
+        target = Target(clock, reactor, NullTargetListener(), FoxtailDialect())
+        target.receive_announcement(Announcement("kalender", "127.0.0.1", context.port, 1))
+
+        async def call() -> str:
+            outcome = await target.run(make_call(clock, 3000, rule={"idempotent": False}))
+            if outcome.is_error():
+                return str(outcome.error.reason)
+            sink = EndSink()
+            outcome.ok.body.attach(sink)
+            return await sink.end
+
+        pool, check_begun = target._pool, Deferred()
+        may_run = pool.may_run
+
+        async def watched_check() -> bool:
+            if not check_begun.called:
+                check_begun.callback(None)
+            return await may_run()
+
+        pool.may_run = watched_check
+        first = ensureDeferred(call())
+        if when == "during":
+            await check_begun
+            await deferLater(reactor, CONFIRM_DELAY_MS / 2000)
+        ends = await gatherResults([first, ensureDeferred(call())])
+        target.close()
+        return ends
+
+    started_s = time.monotonic()
+    context.results = threads.blockingCallFromThread(reactor, lambda: ensureDeferred(run()))
+    context.read_s = time.monotonic() - started_s
+    context.server.join()
+    context.listener.close()
