Recognize the copy of an answer that names its process before its attempt

Seen by callers: 502 for a booking whose whole answer without a length had arrived twice; a look-up was sent again. Cause: the copy was taken for that of a health check, since the first header that tells whose a head is decided, and that of the process is known from any health check.

Now the whole head of the copy is compared with the attempt, by what reads the copy.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -542,14 +542,17 @@
 
     def _begin_copy(self, body: BodyStream, scanner: StrayHeadScanner, data: bytes) -> None:
         """Read the second copy of the response that is being received. Raises `StrayResponse`."""
-        assert self._matcher is not None
-        is_copy = self._matcher.response_id(scanner.stray_header) == self._response_id
-        if self.trace.framing != FRAMED_BY_CLOSE or not is_copy or body.attached:
+        matcher = self._matcher
+        assert matcher is not None
+        if self.trace.framing != FRAMED_BY_CLOSE or body.attached:
             raise StrayResponse
         received = body.buffered() + data
         body.truncate(scanner.stray_start)
         body.feed(data[: max(0, scanner.stray_start - body.size)])
-        self._copy = ResponseCopy(received[: scanner.stray_start])
+        self._copy = ResponseCopy(
+            received[: scanner.stray_start],
+            lambda headers: matcher.response_id(headers) == self._response_id,
+        )
         self._read_copy(body, self._copy, received[scanner.stray_start :])
 
     def _read_copy(self, body: BodyStream, copy: ResponseCopy, data: bytes) -> None:
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -27,6 +27,17 @@
       | 70    | without a length | ends  | not complete |
       | 150   | without a length | runs  | complete     |
 
+  # Guards against a whole answer that is refused since its copy is taken for that of a health check.
+  Scenario Outline: A whole body without a length and a copy <copy>, which names its process before its attempt
+    Given a connection that has carried an earlier answer, and a health check
+    When its answer without a length, with the process first, is followed by a copy <copy>
+    Then that answer is complete
+
+    Examples:
+      | copy             |
+      | with a length    |
+      | without a length |
+
   # Guards against an answer of the right size that ends with the first bytes of another one.
   Scenario Outline: The head of a copy of <whose> answer crosses the end of a body with a length, in <reads>
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -153,6 +153,19 @@
     context.connection.confirm_end = _runs if state == "runs" else _has_ended
 
 
+@given("a connection that has carried an earlier answer, and a health check")
+def step_earlier_health_check(context: Any) -> None:
+    step_earlier_answer(context)
+    context.connection.seen_responses.add("i-1")
+
+
+@when("its answer without a length, with the process first, is followed by a copy {framing}")
+def step_copy_process_first(context: Any, framing: str) -> None:
+    head = STATUS_LINE + b"X-Foxtailproxy-Instance-Id: i-1\r\nX-Foxtailproxy-Attempt-Id: 2\r\n"
+    length = b"Content-Length: %d\r\n" % len(BODY) if framing == "with a length" else b""
+    _answer_to_waiting_reader(context, head + b"\r\n" + BODY, head + length + b"\r\n" + BODY)
+
+
 def _answer_to_waiting_reader(context: Any, *reads: bytes) -> None:
     """Receive the answer to attempt 2, and the close, before its body is read."""
     sink = RecordingSink()
