Search bodies for each status line that is accepted at the start of an answer

Seen by callers: an answer without a length that looks whole, with head and body of its copy inside. Cause: the parser accepts answers in HTTP/0.9 and HTTP/2.0 and with a status from 600 to 999, but bodies were searched for HTTP/1.0 and HTTP/1.1 with a status up to 599.

Now both agree. The search for a status line is one search for the pattern.

A status line of over 256 bytes and a header of over 8 KiB are still not recognized.

--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -10,10 +10,10 @@
 
     from foxtailproxy.http.messages import HeaderList, ResponseHead
 
-START = b"HTTP/1."
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?")
-STATUS_START = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
-STATUS_IN_VALUE = re.compile(rb"[^\r\n]HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
+START = b"HTTP/"
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [1-9][0-9]{2}(?: [^\r\n]*)?")
+STATUS_START = re.compile(rb"HTTP/[0-9]\.[0-9] [1-9][0-9]{2}")
+STATUS_IN_VALUE = re.compile(rb"[^\r\n]HTTP/[0-9]\.[0-9] [1-9][0-9]{2}(?: |$)")
 STATUS_BYTES = len(b"HTTP/1.1 200")
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*")
 LINE_END = b"\r\n"
@@ -90,13 +90,11 @@
 
     def _find_status_line(self, window: bytearray, position: int) -> int:
         """Return where a status line begins or may begin; the size of `window` if nowhere."""
-        while True:
-            start = window.find(START, position)
-            if start < 0:
-                return len(window) - _partial_start_size(window)
-            if len(window) - start < STATUS_BYTES or STATUS_START.match(window, start):
-                return start
-            position = start + len(START)
+        match = STATUS_START.search(window, position)
+        if match is not None:
+            return match.start()
+        start = window.find(START, max(position, len(window) - STATUS_BYTES + 1))
+        return start if start >= 0 else len(window) - _partial_start_size(window)
 
     def _examine(self, line: bytes, position: int) -> bool:
         """Process a line of a head, or the first one; return whether it makes the head stray."""
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -104,6 +104,8 @@
       | an answer with 9 KiB of headers             |
       | an answer that another connection carried   |
       | it behind a status line                     |
+      | an answer in HTTP/2.0                       |
+      | an answer with status 799                   |
 
   # Guards against a whole answer that is refused although its framing proves its end.
   Scenario Outline: A body <framing> that ends inside a quoted head is complete
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -37,6 +37,10 @@
 HEAD = b"HTTP/1.1 200 OK\r\nX-Foxtailproxy-Attempt-Id: %s\r\nX-Foxtailproxy-Instance-Id: i-1\r\n"
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 MANY_HEADERS = STATUS_LINE + b"X-Filler: bbbbbbbbbbbbbbbbbbbb\r\n" * 300
+ODD_STATUS_LINES = {
+    "an answer in HTTP/2.0": b"HTTP/2.0 200 OK\r\n",
+    "an answer with status 799": b"HTTP/1.1 799 Odd\r\n",
+}
 BODY = b"<2>" * 50
 PLAIN_RESPONSE = b"HTTP/1.1 200 OK\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -118,6 +122,9 @@
     if "9 KiB" in what:
         answer = HEAD.replace(STATUS_LINE, MANY_HEADERS) % b"2" + b"\r\n" + BODY
         _answer(context, answer, answer)
+    elif what in ODD_STATUS_LINES:
+        answer = HEAD.replace(STATUS_LINE, ODD_STATUS_LINES[what]) % b"2" + b"\r\n" + BODY
+        _answer(context, answer, answer)
     elif "status line" in what:
         answer = HEAD % b"2" + b"\r\n" + BODY
         _answer(context, answer, b"HTTP/1.1 404 Not Found\r\n" + answer)
