--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -92,6 +92,20 @@
       | ECONNRESET | not complete |
       | ETIMEDOUT  | not complete |
       | EPIPE      | complete     |
+  # Guards against a part of an answer that looks whole: a copy that is cut in the same place agrees with it.
+  Scenario Outline: An answer cut after <count> bytes of its body and a copy <framing> that is cut there, of a server that <state>
+    Given a connection that has carried an earlier answer
+    When its answer without a length and a copy <framing> are both cut after <count> bytes of their bodies by a close of a server that <state>
+    Then that answer is not complete
+
+    Examples:
+      | count | framing          | state     |
+      | 0     | with a length    | runs      |
+      | 60    | with a length    | runs      |
+      | 0     | in chunks        | runs      |
+      | 60    | in chunks        | runs      |
+      | 0     | without a length | has ended |
+      | 60    | without a length | has ended |
 
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -22,7 +22,7 @@
 from foxtailproxy.clock import Clock
 from foxtailproxy.dialect import AnswerMatcher, FoxtailDialect
 from foxtailproxy.http.body import BodyStream
-from foxtailproxy.http.client import ClientConnection
+from foxtailproxy.http.client import ClientConnection, ClientResponse
 from foxtailproxy.http.messages import RequestHead
 from foxtailproxy.http.pool import CONFIRM_DELAY_MS, ConnectionPool
 from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner
@@ -45,6 +45,7 @@
 PLAIN_RESPONSE = b"HTTP/1.1 200 OK\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 PAUSE_S = 0.05
+REPLAY_BYTES = 65536
 FIRST_PART = b"z" * 100_000
 
 
@@ -69,15 +70,24 @@
     return True
 
 
-def _exchange(connection: ClientConnection, attempt: str, method: bytes = b"GET") -> RecordingSink:
-    """Send a request; the sink gets the response's body."""
+def _exchange(
+    connection: ClientConnection, attempt: str, method: bytes = b"GET", buffered: bool = False
+) -> RecordingSink:
+    """Send a request; the sink gets the response's body, at once or when it has ended."""
     sink = RecordingSink()
     response = connection.request(
         RequestHead(method, b"/", []),
         BodyStream.from_bytes(b""),
         AnswerMatcher(DIALECT, attempt),
     )
-    response.addCallbacks(lambda found: found.body.attach(sink), sink.body_failed)
+
+    def read(found: ClientResponse) -> None:
+        if buffered:
+            found.body.buffer(REPLAY_BYTES).addBoth(lambda _: found.body.attach(sink))
+        else:
+            found.body.attach(sink)
+
+    response.addCallbacks(read, sink.body_failed)
     return sink
 
 
@@ -92,9 +102,9 @@
     return connection
 
 
-def _answer(context: Any, *reads: bytes) -> None:
+def _answer(context: Any, *reads: bytes, buffered: bool = False) -> None:
     """Receive the answer to attempt 2, and the close of the connection."""
-    sink = _exchange(context.connection, "2")
+    sink = _exchange(context.connection, "2", buffered=buffered)
     for data in reads:
         if not context.connection.closed:
             context.connection.dataReceived(data)
@@ -117,6 +127,26 @@
     _answer(context, answer, answer[:count])
 
 
+@when(
+    "its answer without a length and a copy {framing} are both cut after {count:d} bytes of their "
+    "bodies by a close of a server that {state}"
+)
+def step_cut_twice(context: Any, framing: str, count: int, state: str) -> None:
+    async def runs() -> bool:
+        return state == "runs"
+
+    context.connection.confirm_end = runs
+    headers = {
+        "with a length": b"Content-Length: %d\r\n" % len(BODY),
+        "in chunks": b"Transfer-Encoding: chunked\r\n",
+        "without a length": b"",
+    }[framing]
+    part = BODY[:count]
+    copied_part = b"%x\r\n%s" % (len(BODY), part) if framing == "in chunks" else part
+    copy = HEAD % b"2" + headers + b"\r\n" + copied_part
+    _answer(context, HEAD % b"2" + b"\r\n" + part, copy, buffered=True)
+
+
 @when("its answer without a length is followed by a copy of {what} and a close")
 def step_copy(context: Any, what: str) -> None:
     if "9 KiB" in what:
