Compare the status of a copy that proves the end of an answer

Callers read an empty answer as a whole one. Its body ended in the bytes of a status line when the upstream sent a second copy of the answer, for example "HTTP/1.1 102 ProcessinHTTP/1.1 200 OK".

Cause: the two lines are one status line for the search and for the parser, so that the copy seemed to begin at the start of the body and to have the first status. A response with status 102, 204 or 304 has no body: the copy was complete at once, with the same empty body as came before it.

A copy now agrees only if it has the status of the answer. The status is taken from the head of the copy itself, since other responses may follow it.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -549,9 +549,11 @@
         received = body.buffered() + data
         body.truncate(scanner.stray_start)
         body.feed(data[: max(0, scanner.stray_start - body.size)])
+        # Bytes of the body that end like a status line are read as a part of the copy's one.
+        own = (self._parser.get_status_code(), self._response_id)
         self._copy = ResponseCopy(
             received[: scanner.stray_start],
-            lambda headers: matcher.response_id(headers) == self._response_id,
+            lambda status, headers: (status, matcher.response_id(headers)) == own,
         )
         self._read_copy(body, self._copy, received[scanner.stray_start :])
 
--- a/foxtailproxy/http/response_copy.py
+++ b/foxtailproxy/http/response_copy.py
@@ -18,10 +18,10 @@
     """Copy of a response, read from the bytes that follow the body of the first one.
 
     An upstream that sends a response twice proves where the first one ends if both have the same
-    body. `is_own` tells by the headers whether both are the same response.
+    body. `is_own` tells by the status and the headers whether both are the same response.
     """
 
-    def __init__(self, first_body: bytes, is_own: Callable[[HeaderList], bool]) -> None:
+    def __init__(self, first_body: bytes, is_own: Callable[[int, HeaderList], bool]) -> None:
         self._expected = first_body
         self._is_own = is_own
         self._headers: HeaderList = []
@@ -62,7 +62,7 @@
         """Record that the head is complete, and whether it is that of another response."""
         if not self._complete:
             self._head_complete = True
-            self._is_other = not self._is_own(self._headers)
+            self._is_other = not self._is_own(self._parser.get_status_code(), self._headers)
 
     def on_body(self, data: bytes) -> None:
         """Add bytes to the body of the copy."""
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -107,6 +107,18 @@
       | 0     | without a length | has ended |
       | 60    | without a length | has ended |
 
+  # Guards against an empty answer that looks whole: its cut body ends in a status line, which the copy's one extends.
+  Scenario Outline: An answer cut behind <what> in its body and a whole copy of it
+    Given a connection that has carried an earlier answer
+    When its answer without a length, cut behind "<text>", is followed by a whole copy of it and a close
+    Then that answer is not complete
+
+    Examples:
+      | what                                 | text                    |
+      | the status line of an interim answer | HTTP/1.1 102 Processing |
+      | a status line without a body         | HTTP/1.1 204 No Content |
+      | the start of such a status line      | HTTP/1.1 304 No         |
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -147,6 +147,15 @@
     _answer(context, HEAD % b"2" + b"\r\n" + part, copy, buffered=True)
 
 
+@when(
+    'its answer without a length, cut behind "{text}", is followed by a whole copy of it and a '
+    "close"
+)
+def step_cut_behind_status_line(context: Any, text: str) -> None:
+    head = HEAD % b"2" + b"\r\n"
+    _answer(context, head + text.encode(), head + text.encode() + BODY, buffered=True)
+
+
 @when("its answer without a length is followed by a copy of {what} and a close")
 def step_copy(context: Any, what: str) -> None:
     if "9 KiB" in what:
