Recognize the answers of calls that ended before their answer arrived

Callers read the answer of another call inside their own as one whole answer, if that other call had been cancelled or reset before the head of its answer arrived.

Cause: the bytes of a body were searched for the ids of responses that this node had read. The upstream may have answered a call and only the answer is lost, or late on another connection.

The ids are now remembered when the request is sent. A response names the id of its request, so that no id is missing; those of the instance, which responses to health checks name, are still learned from the responses.

--- a/foxtailproxy/dialect.py
+++ b/foxtailproxy/dialect.py
@@ -116,6 +116,11 @@
     dialect: Dialect
     attempt_id: str
 
+    @property
+    def request_id(self) -> str:
+        """Attempt id, which the response names; empty for a health check."""
+        return self.attempt_id
+
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether a response answers the attempt, and log it otherwise."""
         matches = self.dialect.answers_attempt(head, self.attempt_id)
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -70,6 +70,10 @@
 class ResponseMatcher(Protocol):
     """Knowledge of the server's headers that tell which request a response belongs to."""
 
+    @property
+    def request_id(self) -> str:
+        """Id of the responses to the request; `NO_RESPONSE_ID` if they have none of its own."""
+
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether a response belongs to the request that was sent."""
 
@@ -196,6 +200,9 @@
         self.trace = ExchangeTrace(earlier_exchanges=self.exchange_count)
         self.exchange_count += 1
         self._matcher = matcher
+        if matcher is not None and matcher.request_id != NO_RESPONSE_ID:
+            # The server may have answered also if its response does not arrive here.
+            self.seen_responses.add(matcher.request_id)
         self._is_head_request = head.method == b"HEAD"
         self._response_deferred = Deferred(lambda _: self.abort())
         deferred = self._response_deferred
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -24,11 +24,11 @@
 MAX_STATUS_LINE_BYTES = 256
 
 MAX_SEEN_RESPONSES = 2048
-"""Maximum number of earlier responses of a server whose copies are recognized."""
+"""Maximum number of earlier requests to a server whose responses are recognized."""
 
 
 class SeenResponses:
-    """Ids of the latest responses of one server."""
+    """Ids of the responses to the latest requests to one server."""
 
     def __init__(self) -> None:
         self._ids: dict[str, None] = {}
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -133,6 +133,20 @@
       | an answer in HTTP/2.0                       |
       | an answer with status 799                   |
 
+  # Guards against a copy that becomes part of a body because only the upstream knows that it has answered that call.
+  Scenario Outline: The answer of a call that <end> does not become part of a body <framing>
+    Given a connection that has carried an earlier answer
+    And a call on another connection to the same server that <end>
+    When its answer <framing> has the answer of that call inside
+    Then that answer is not complete
+
+    Examples:
+      | end                             | framing          |
+      | was cancelled                   | without a length |
+      | was cancelled                   | with a length    |
+      | was reset                       | without a length |
+      | was reset                       | in chunks        |
+
   # Guards against a whole answer that is refused although its framing proves its end.
   Scenario Outline: A body <framing> that ends inside a quoted head is complete
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -14,7 +14,7 @@
 from behave import given, then, when
 from twisted.internet import reactor, threads
 from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
@@ -23,6 +23,7 @@
 from foxtailproxy.dialect import AnswerMatcher, FoxtailDialect
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.client import ClientConnection, ClientResponse
+from foxtailproxy.http.errors import ExchangeCancelled
 from foxtailproxy.http.messages import RequestHead
 from foxtailproxy.http.pool import CONFIRM_DELAY_MS, ConnectionPool
 from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner
@@ -173,6 +174,32 @@
         _answer(context, HEAD % b"2" + b"\r\n" + BODY, other)
 
 
+@given("a call on another connection to the same server that {end}")
+def step_unanswered(context: Any, end: str) -> None:
+    other = _connection(HEAD % b"1" + b"Content-Length: 2\r\n\r\nok")
+    other.seen_responses = context.connection.seen_responses
+    sink = _exchange(other, "7")
+    if end == "was reset":
+        other.connectionLost(Failure(ConnectionLost()))
+    else:
+        other.fail(ExchangeCancelled())
+    assert sink.end == "cut"
+
+
+@when("its answer {framing} has the answer of that call inside")
+def step_unanswered_inside(context: Any, framing: str) -> None:
+    other = HEAD % b"7" + b"Content-Length: 5\r\n\r\nother"
+    body = BODY[:60] + other + BODY[60:]
+    head = HEAD % b"2"
+    if framing == "with a length":
+        _answer(context, head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+    elif framing == "in chunks":
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        _answer(context, head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk)
+    else:
+        _answer(context, head + b"\r\n" + body)
+
+
 @when("its answer {framing} ends with the first bytes of a head")
 def step_quoted_end(context: Any, framing: str) -> None:
     body = b"the log: HTTP/1.1 200 OK\r\nx-f"
--- a/foxtailproxy/tests/steps/client_connection.py
+++ b/foxtailproxy/tests/steps/client_connection.py
@@ -48,6 +48,7 @@
     """Matcher that accepts every response and gives each one the same id."""
 
     id: str | None
+    request_id: str = ""
 
     def accepts(self, head: ResponseHead) -> bool:
         """Return true."""
