Refuse an answer whose status line begins with a part of another one

Callers read the status of an earlier answer with the body of their own, if the upstream had sent a copy of the earlier one that was cut in its status line: a 404 in place of a 200.

Cause: the status line of the answer is read as the rest of the reason of the one that was cut, and the attempt is named by the rest of the head. The check for a copy that was cut inside a header did not look at the reason.

A head with the start of a status line in its reason is now refused as well; a call that may run again is sent again.

The four new scenarios of answer_ends.feature failed on the code without both checks (45 passed, 4 failed) and pass now.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -26,7 +26,7 @@
     StrayResponse,
 )
 from foxtailproxy.http.response_copy import ResponseCopy
-from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner, holds_cut_head
+from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner, holds_another_head
 from foxtailproxy.http.transport import (
     EndNotice,
     enable_tcp_keepalive,
@@ -426,14 +426,18 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Deliver the response, unless it is interim or late."""
+        """Deliver the response, unless it is interim or late.
+
+        Raises `StrayResponse` if a part of another response is at its start.
+        """
         self._head_complete = True
         status = self._parser.get_status_code()
         if status < 200 or self._response_deferred is None:
             return
-        if self._matcher is not None and holds_cut_head(self._headers):
-            raise StrayResponse
         head = messages.ResponseHead(status, self._reason, self._headers)
+        if self._matcher is not None and holds_another_head(head):
+            self.trace.stray_heads += 1
+            raise StrayResponse
         if self._matcher is not None and not self._matcher.accepts(head):
             self._skip_response(status)
             return
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -122,12 +122,14 @@
         return self.stray_header[0] in head.headers
 
 
-def holds_cut_head(headers: HeaderList) -> bool:
-    """Return whether a head that was cut inside a header continues with the status line of another.
+def holds_another_head(head: ResponseHead) -> bool:
+    """Return whether a head was cut in its status line or a header, and another one continues it.
 
-    A value that is itself a status line is none that was cut.
+    A header whose value is itself a status line is none that was cut.
     """
-    return any(STATUS_IN_VALUE.search(value) for _, value in headers)
+    return START in head.reason or any(
+        STATUS_IN_VALUE.search(value) is not None for _, value in head.headers
+    )
 
 
 def _partial_start_size(window: bytearray) -> int:
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -147,6 +147,19 @@
       | was reset                       | without a length |
       | was reset                       | in chunks        |
 
+  # Guards against an answer with the status or the headers of another one: a copy that is cut in its head comes before it.
+  Scenario Outline: A copy that is cut behind <text> does not change the head of the answer that follows
+    Given a connection that has carried an earlier answer
+    When its answer follows a copy of another one that is cut behind "<text>"
+    Then that answer is not complete
+
+    Examples:
+      | text                                               |
+      | HTTP/1.1 404                                       |
+      | HTTP/1.1 404 Not                                   |
+      | HTTP/1.1 404 Not Found, X-Filler: b                |
+      | HTTP/1.1 200 OK, X-Foxtailproxy-Not-Executed: true |
+
   # Guards against a whole answer that is refused although its framing proves its end.
   Scenario Outline: A body <framing> that ends inside a quoted head is complete
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -174,6 +174,13 @@
         _answer(context, HEAD % b"2" + b"\r\n" + BODY, other)
 
 
+@when('its answer follows a copy of another one that is cut behind "{text}"')
+def step_cut_copy_before(context: Any, text: str) -> None:
+    copy = text.replace(", ", "\r\n").encode()
+    copy += b" " if copy.endswith(b"404") else b""
+    _answer(context, copy, HEAD % b"2" + b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY))
+
+
 @given("a call on another connection to the same server that {end}")
 def step_unanswered(context: Any, end: str) -> None:
     other = _connection(HEAD % b"1" + b"Content-Length: 2\r\n\r\nok")
