--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -160,6 +160,17 @@
       | HTTP/1.1 404 Not Found, X-Filler: b                |
       | HTTP/1.1 200 OK, X-Foxtailproxy-Not-Executed: true |
 
+  # Guards against a quoted error that becomes the answer: the head before it is read as the rest of a copy's head.
+  Scenario Outline: The body of an answer that quotes an error follows a copy that is cut in a header
+    Given a connection that has carried an earlier answer
+    When its answer <framing>, whose body is an error response, follows a copy of the earlier one that is cut in a header
+    Then that answer is not complete
+
+    Examples:
+      | framing          |
+      | with a length    |
+      | without a length |
+
   # Guards against a whole answer that is refused although its framing proves its end.
   Scenario Outline: A body <framing> that ends inside a quoted head is complete
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -181,6 +181,17 @@
     _answer(context, copy, HEAD % b"2" + b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY))
 
 
+@when(
+    "its answer {framing}, whose body is an error response, follows a copy of the earlier one that "
+    "is cut in a header"
+)
+def step_quoted_error(context: Any, framing: str) -> None:
+    copy = HEAD.replace(b"200 OK", b"204 No Content") % b"1" + b"X-Filler: b"
+    body = b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno"
+    length = b"Content-Length: %d\r\n" % len(body) if framing == "with a length" else b""
+    _answer(context, copy, HEAD % b"2" + length + b"\r\n" + body)
+
+
 @given("a call on another connection to the same server that {end}")
 def step_unanswered(context: Any, end: str) -> None:
     other = _connection(HEAD % b"1" + b"Content-Length: 2\r\n\r\nok")
