Recognize a cut copy of an answer that arrived elsewhere or longer ago

Callers read a part of a second copy as the end of their answer without a length, if the copy was cut inside its head and the first one had arrived on another connection, or more than one answer before on the same one.

Cause: the end of a body was compared with the latest two heads of its connection.

The latest 64 heads of the upstream are compared, from all its connections. They are looked at only where a body ends inside what may be a head.

The three new scenarios of answer_ends.feature failed before (49 passed, 3 failed) and pass after (52 passed); answer_bytes.feature: 65 passed, client_connection.feature: 10 passed.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -52,8 +51,6 @@
 FRAMED_BY_CLOSE = "close"
 """Framing of a body without a length whose end is the end of its connection."""
 
-RECENT_HEADS = 2
-"""Number of responses whose copies are recognized if they are cut inside their head."""
 
 MAX_WATCHES = 8
 """Connections by which the server of one body is watched, one after another; it may close them."""
@@ -157,7 +154,6 @@
         self._watches_opened = 0
         self._was_lost = False
         self._matcher: ResponseMatcher | None = None
-        self._recent_heads: deque[messages.ResponseHead] = deque(maxlen=RECENT_HEADS)
         self._response_id: str | None = None
         self._scanner: StrayHeadScanner | None = None
         self._read = b""
@@ -446,7 +442,7 @@
         self._scanner = None
         if response_id is not None:
             self.seen_responses.add(response_id)
-            self._recent_heads.append(head)
+            self.seen_responses.recent_heads.append(head)
             self._scanner = StrayHeadScanner(self._is_stray)
         self._keep_alive = self._may_reuse(status) and not self._copy_would_mislead(response_id)
         self.keep_alive_timeout_ms = messages.parse_keep_alive_timeout(self._headers)
@@ -478,9 +474,9 @@
         return self._matcher.response_id(headers) in self.seen_responses
 
     def _ends_inside_copy(self) -> bool:
-        """Return whether a body ends inside what may be a copy of a head on this connection."""
-        scanner = self._scanner
-        return scanner is not None and any(map(scanner.ends_like_head, self._recent_heads))
+        """Return whether a body ends inside what may be a copy of a head of this server."""
+        scanner, recent_heads = self._scanner, self.seen_responses.recent_heads
+        return scanner is not None and any(map(scanner.ends_like_head, recent_heads))
 
     def _skip_response(self, status: int) -> None:
         """Skip a late response. Raises `StrayResponse` if its end is not known."""
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections import deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -26,12 +27,16 @@
 MAX_SEEN_RESPONSES = 2048
 """Maximum number of earlier requests to a server whose responses are recognized."""
 
+MAX_RECENT_HEADS = 64
+"""Number of responses of a server whose copies are recognized if they are cut inside their head."""
+
 
 class SeenResponses:
-    """Ids of the responses to the latest requests to one server."""
+    """Ids of the responses to the latest requests to one server, and the latest heads."""
 
     def __init__(self) -> None:
         self._ids: dict[str, None] = {}
+        self.recent_heads: deque[ResponseHead] = deque(maxlen=MAX_RECENT_HEADS)
 
     def add(self, response_id: str) -> None:
         """Add the id of a response; it is empty if the headers do not tell whose it is."""
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -13,6 +13,19 @@
       | with its status line                  | 17    |
       | between CR and LF after a header      | 46    |
 
+  # Guards against a part of a copy that becomes the end of a body because its head arrived elsewhere or too long ago.
+  Scenario Outline: A copy of an answer that <connection> connection carried ends after <count> bytes and does not complete a body
+    Given a connection that has carried an earlier answer
+    And <connection> connection to the same server has carried the answers to 3 calls with status 404
+    When its answer without a length is followed by the first <count> bytes of the first of them and a close
+    Then that answer is not complete
+
+    Examples:
+      | connection | count |
+      | another    | 15    |
+      | another    | 52    |
+      | this       | 52    |
+
   # Guards against a part of an answer that looks whole: its copy is cut at the same place.
   Scenario Outline: A part of a body without a length and a copy <copy> that is cut likewise, from a server that <state>
     Given a connection that has carried an earlier answer, to a server that <state>
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -36,6 +36,7 @@
 
 DIALECT = PlatformDialect(lambda: "kalender")
 HEAD = b"HTTP/1.1 200 OK\r\nX-Foxtailproxy-Attempt-Id: %s\r\nX-Foxtailproxy-Instance-Id: i-1\r\n"
+NOT_FOUND = HEAD.replace(b"200 OK", b"404 Not Found") + b"Content-Length: 2\r\n\r\nno"
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 MANY_HEADERS = STATUS_LINE + b"X-Filler: bbbbbbbbbbbbbbbbbbbb\r\n" * 300
 ODD_STATUS_LINES = {
@@ -128,6 +129,26 @@
     _answer(context, answer, answer[:count])
 
 
+@given("{which} connection to the same server has carried the answers to 3 calls with status 404")
+def step_earlier_calls(context: Any, which: str) -> None:
+    connection = context.connection
+    if which == "another":
+        connection = _connection(HEAD % b"1" + b"Content-Length: 2\r\n\r\nok")
+        connection.seen_responses = context.connection.seen_responses
+    for attempt in ("a", "b", "c"):
+        sink = _exchange(connection, attempt)
+        connection.dataReceived(NOT_FOUND % attempt.encode())
+        assert sink.end == "complete"
+
+
+@when(
+    "its answer without a length is followed by the first {count:d} bytes of the first of them "
+    "and a close"
+)
+def step_cut_earlier_copy(context: Any, count: int) -> None:
+    _answer(context, HEAD % b"2" + b"\r\n" + BODY, (NOT_FOUND % b"a")[:count])
+
+
 @when(
     "its answer without a length and a copy {framing} are both cut after {count:d} bytes of their "
     "bodies by a close of a server that {state}"
