Recognize a cut copy that begins inside a quoted head

Callers read a second copy that was cut in its status line as the end of their answer without a length, if the bytes before it quote a head whose last line is still open.

Cause: only the start of the open line was compared with the status line, and with no status line at all where the open line is a header.

The comparison now begins at the last start of a status line within the open line.

--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -119,9 +119,13 @@
     def ends_like_head(self, head: ResponseHead) -> bool:
         """Return whether the bytes so far end inside what may be a copy of `head`."""
         line = bytes(self._pending).removesuffix(b"\r").lower()
+        status_line = b"http/1.1 %d %s" % (head.status, head.reason.lower())
+        # A copy may begin inside a line, also inside one of a head that the body quotes.
+        status_start = line[max(0, line.rfind(START.lower())) :]
+        if len(status_start) >= STATUS_BYTES and status_line.startswith(status_start):
+            return True
         if not self._in_head:
-            status_line = b"http/1.1 %d %s" % (head.status, head.reason.lower())
-            return len(line) >= STATUS_BYTES and status_line.startswith(line)
+            return False
         if line or not self.stray_header:
             return any((b"%s: %s" % pair).lower().startswith(line) for pair in head.headers)
         return self.stray_header[0] in head.headers
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -129,6 +129,15 @@
     _answer(context, answer, answer[:count])
 
 
+@when(
+    'its answer without a length, which ends in "{text}", is followed by the first {count:d} bytes '
+    "of a copy of it and a close"
+)
+def step_cut_copy_behind_text(context: Any, text: str, count: int) -> None:
+    answer = HEAD % b"2" + b"\r\n" + text.replace(", ", "\r\n").encode()
+    _answer(context, answer, answer[:count])
+
+
 @given("{which} connection to the same server has carried the answers to 3 calls with status 404")
 def step_earlier_calls(context: Any, which: str) -> None:
     connection = context.connection
