--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -143,6 +143,18 @@
       | a status line without a body         | HTTP/1.1 204 No Content |
       | the start of such a status line      | HTTP/1.1 304 No         |
 
+  # Guards against other bytes in a body of the right size: they are the first ones of a copy whose rest follows.
+  Scenario Outline: A copy that begins <count> bytes before the end of a body with a length does not become its end
+    Given a connection that has carried an earlier answer
+    When its answer with a length is followed by a copy of it <count> bytes before its end, in the same read
+    Then that answer is not complete
+
+    Examples:
+      | count |
+      | 12    |
+      | 17    |
+      | 46    |
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -138,6 +138,15 @@
     _answer(context, answer, answer[:count])
 
 
+@when(
+    "its answer with a length is followed by a copy of it {count:d} bytes before its end, in the "
+    "same read"
+)
+def step_copy_before_end(context: Any, count: int) -> None:
+    answer = HEAD % b"2" + b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+    _answer(context, answer[:-count] + answer + answer[-count:])
+
+
 @given("{which} connection to the same server has carried the answers to 3 calls with status 404")
 def step_earlier_calls(context: Any, which: str) -> None:
     connection = context.connection
