Play the random histories through a target, too

The histories in memory use one connection at a time and no pool: the check whether the upstream runs, a call that is repeated and the bytes of real sockets were not part of them.

The same histories now go through a target with its pool.

--- a/foxtailproxy/tests/answer_fuzz.feature
+++ b/foxtailproxy/tests/answer_fuzz.feature
@@ -22,6 +22,15 @@
       | 18957 | a quoted error behind a copy that is cut in a header             |
       | 30724 | a copy that begins in a quoted header                            |
 
+  # Guards against a wrong end in the target or in its pool of connections, which repeat a call that may run again.
+  Scenario Outline: The same over real sockets, with <count> seeds from <first>
+    When the histories of <count> seeds from <first> are played through a target
+    Then each complete answer is the one that the upstream gave, and none is refused without a cause
+
+    Examples:
+      | first | count |
+      | 160   | 40    |
+
   # Guards against a generator that leaves out what the histories are for.
   Scenario: The histories hold all kinds of answers, copies and ends
     When the histories of 1000 seeds from 0 are made
--- a/foxtailproxy/tests/steps/answer_fuzz.py
+++ b/foxtailproxy/tests/steps/answer_fuzz.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from behave import then, when
+from twisted.internet import reactor, threads
+from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.tests.answer_fuzz import (
     AT_ONCE,
@@ -22,6 +24,7 @@
     HistoryMaker,
     play_histories,
 )
+from foxtailproxy.tests.answer_fuzz_sockets import LiveHistory
 
 
 @when("the histories of {count:d} seeds from {first:d} are played")
@@ -29,6 +32,17 @@
     context.problems = play_histories(first, count)
 
 
+@when("the histories of {count:d} seeds from {first:d} are played through a target")
+def step_play_through_target(context: Any, count: int, first: int) -> None:
+    context.problems = []
+    for seed in range(first, first + count):
+        history = threads.blockingCallFromThread(reactor, LiveHistory, seed)
+        context.problems += threads.blockingCallFromThread(
+            reactor, lambda history=history: ensureDeferred(history.play())
+        )
+        history.close()
+
+
 @then("each complete answer is the one that the upstream gave, and none is refused without a cause")
 def step_no_problem(context: Any) -> None:
     assert not context.problems, "\n".join(context.problems[:5])
