List two wrong ends that random histories showed and that are not mended

A copy whose rest comes in a later read than the end of a body with a length, and a copy before an answer that is cut between the name of a header and its value.

--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -150,6 +150,12 @@
       | 17    |
       | 46    |
 
+  # Guards against the same where the rest of the copy comes later. Known to fail.
+  Scenario: A copy that begins 17 bytes before the end of a body with a length does not become its end, in two reads
+    Given a connection that has carried an earlier answer
+    When its answer with a length is followed by a copy of it 17 bytes before its end, in the next read
+    Then that answer is not complete
+
   # Guards against a copy that becomes part of a body because its head is not recognized.
   Scenario Outline: A copy of <what> does not become part of a body without a length
     Given a connection that has carried an earlier answer
@@ -191,6 +197,12 @@
       | HTTP/1.1 404 Not Found, X-Filler: b                |
       | HTTP/1.1 200 OK, X-Foxtailproxy-Not-Executed: true |
 
+  # Guards against the same where the answer's status line looks like a header that quotes one. Known to fail.
+  Scenario: A copy that is cut between a header's name and value does not change the head of the answer that follows
+    Given a connection that has carried an earlier answer
+    When its answer follows a copy of another one that is cut behind "HTTP/1.1 404 Not Found, X-Filler:"
+    Then that answer is not complete
+
   # Guards against a quoted error that becomes the answer: the head before it is read as the rest of a copy's head.
   Scenario Outline: The body of an answer that quotes an error follows a copy that is cut in a header
     Given a connection that has carried an earlier answer
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -140,11 +140,13 @@
 
 @when(
     "its answer with a length is followed by a copy of it {count:d} bytes before its end, in the "
-    "same read"
+    "{which} read"
 )
-def step_copy_before_end(context: Any, count: int) -> None:
+def step_copy_before_end(context: Any, count: int, which: str) -> None:
     answer = HEAD % b"2" + b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
-    _answer(context, answer[:-count] + answer + answer[-count:])
+    data = answer[:-count] + answer + answer[-count:]
+    reads = [data] if which == "same" else [data[: len(answer)], data[len(answer) :]]
+    _answer(context, *reads)
 
 
 @given("{which} connection to the same server has carried the answers to 3 calls with status 404")
