Refuse a body with a length that ends inside a cut copy, also without the copy's attempt

Callers read other bytes at the end of an answer with a length, if a copy that begins there was cut before the header that tells whose it is, and the rest of the body followed. Cause: bytes behind the last one of a body counted only if they went on to name an attempt.

Now a body that ends like a part of a known head is refused if more bytes are read with it, unless they begin another response.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -25,7 +25,12 @@
     StrayResponse,
 )
 from foxtailproxy.http.response_copy import ResponseCopy
-from foxtailproxy.http.stray_head import SeenResponses, StrayHeadScanner, holds_another_head
+from foxtailproxy.http.stray_head import (
+    SeenResponses,
+    StrayHeadScanner,
+    holds_another_head,
+    starts_response,
+)
 from foxtailproxy.http.transport import (
     EndNotice,
     enable_tcp_keepalive,
@@ -542,8 +547,10 @@
         if not found:
             # The head came in an earlier read.
             rest = self._read[len(end) :]
+        # A copy may be cut before the header that tells whose it is, with the rest of the body behind.
+        ends_inside_copy = bool(rest) and not starts_response(rest) and self._ends_inside_copy()
         body_size = scanner.size
-        begins_inside = scanner.feed(rest) and scanner.stray_start < body_size
+        begins_inside = ends_inside_copy or (scanner.feed(rest) and scanner.stray_start < body_size)
         self.trace.stray_heads += begins_inside
         return begins_inside
 
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -142,6 +142,11 @@
     )
 
 
+def starts_response(data: bytes) -> bool:
+    """Return whether bytes begin, or may begin, with a status line."""
+    return data.startswith(START[: len(data)])
+
+
 def _partial_start_size(window: bytearray) -> int:
     """Return how many bytes at the end of `window` may begin a status line."""
     for size in range(min(len(START) - 1, len(window)), 0, -1):
