Count the wait of a request for its node for the request's deadline

Cause: the port is opened before the imports, and accepted from once there is a configuration, at most 0.5 s after them. The deadline was counted from the moment at which the node read the request, so that the wait in the listen queue, or in the socket, did not count.

Change: the kernel tells how long ago the last bytes of a connection arrived; a request counts as received then. One that is read too late is rejected at once as not run, and a target is given the time that is left. The elapsed time of a call, in its log line and in the latency histograms, includes the wait.

Ruled out: a refusal in place of the wait.

Calls between nodes still count from the moment at which they are read.

--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -60,7 +60,7 @@
         self.call = call
         self._server = caller_server
         self._exchange = exchange
-        self._started_ms = caller_server.clock.now_ms()
+        self._started_ms = caller_server.clock.now_ms() - exchange.unread_ms
         self._responded = False
         self._answer_body: BodyStream | None = None
         delay_ms = max(0.0, call.remaining_ms(caller_server.clock) + DEADLINE_GRACE_MS)
@@ -214,7 +214,7 @@
 
     async def _receive(self, exchange: ServerExchange) -> Call | NotRun:
         headers = exchange.head.headers
-        received_ms = self.clock.now_ms()
+        received_ms = self.clock.now_ms() - exchange.unread_ms
         match = self._match_rule(exchange.head)
         if isinstance(match, NotRun):
             return match
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -547,7 +547,7 @@
         if not found:
             # The head came in an earlier read.
             rest = self._read[len(end) :]
-        # A copy may be cut before the header that tells whose it is, with the rest of the body behind.
+        # A copy may be cut before the header that tells whose it is; the rest of the body follows.
         ends_inside_copy = bool(rest) and not starts_response(rest) and self._ends_inside_copy()
         body_size = scanner.size
         begins_inside = ends_inside_copy or (scanner.feed(rest) and scanner.stray_start < body_size)
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -19,10 +19,14 @@
 
 
 class ServerExchange:
-    """Request of a client and the response to it."""
+    """Request of a client and the response to it.
+
+    `unread_ms` is the time for which the request waited for this process to read it.
+    """
 
     def __init__(self, connection: ServerConnection, head: messages.RequestHead) -> None:
         self.head = head
+        self.unread_ms = 0
         self.body = BodyStream(None, connection)
         self.keep_alive = True
         self.expects_continue = False
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -21,6 +21,7 @@
     has_unacknowledged_bytes,
     has_unsent_bytes,
     is_ended_by_peer,
+    ms_since_last_arrival,
     write_now,
 )
 
@@ -207,6 +208,7 @@
         )
         length = self._check_head(head)
         exchange = ServerExchange(self, head)
+        exchange.unread_ms = ms_since_last_arrival(self.transport)
         exchange.keep_alive = self._parser.should_keep_alive()
         exchange.expects_continue = (
             messages.get_header_text(head.headers, b"expect").lower() == "100-continue"
--- a/foxtailproxy/http/transport.py
+++ b/foxtailproxy/http/transport.py
@@ -58,6 +58,24 @@
     return state[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
 
 
+LAST_DATA_RECEIVED_OFFSET = 52
+"""Offset in the kernel's `TCP_INFO` of the milliseconds since bytes last arrived, 32 bits long."""
+
+
+def ms_since_last_arrival(transport: Any) -> int:
+    """Return the time since the kernel received the last bytes from the remote end.
+
+    A connection may have waited in a listen queue, or this process may have been suspended.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:
+        return 0
+    size = LAST_DATA_RECEIVED_OFFSET + struct.calcsize("I")
+    info: bytes = get_handle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    elapsed_ms: int = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)[0]
+    return elapsed_ms
+
+
 @implementer(IReadDescriptor)
 class EndNotice:
     """Notice, while a connection is not read, that the remote end closed or reset it.
--- a/foxtailproxy/tests/live_platform.feature
+++ b/foxtailproxy/tests/live_platform.feature
@@ -66,6 +66,18 @@
     When all nodes are killed and started again, and callers connect as soon as they are not refused
     Then each of their requests for the local target is answered with status 200
 
+  # Guards against a request that runs after its deadline: its wait for the starting node was not counted.
+  Scenario Outline: A caller of a route of <timeout_ms> ms waits while the start of its node is held up
+    Given nodes on the platform with a configuration
+    When a request with <timeout_ms> ms waits at a node whose start is held up for 1000 ms
+    Then the request is answered with status <status> and has run <runs> times
+    And the target was given at most <left_ms> ms
+
+    Examples:
+      | timeout_ms | status | runs | left_ms |
+      | 900        | 503    | 0    | 0       |
+      | 9000       | 200    | 1    | 8000    |
+
   Scenario: A node that finds no configuration rejects requests soon
     Given nodes on the platform without a configuration
     When a node is killed and started again, and a request is sent to it at once
--- a/foxtailproxy/tests/steps/live_platform.py
+++ b/foxtailproxy/tests/steps/live_platform.py
@@ -12,7 +12,7 @@
 
 from behave import given, then, when
 
-from standins.fleet import ADDRESS, http_json
+from standins.fleet import ADDRESS, START_TIMEOUT_S, http_json
 from standins.platform_fleet import HEADER_PREFIX, HOST_BY_SERVICE, Machine, PlatformFleet
 
 LOAD_S = 3.0
@@ -271,6 +271,50 @@
     assert context.replied_s < context.restarted_s + ms / 1000
 
 
+@when("a request with {timeout_ms:d} ms waits at a node whose start is held up for {ms:d} ms")
+def step_wait_for_start(context: Any, timeout_ms: int, ms: int) -> None:
+    live = context.live
+    context.machine = live.machines[0]
+    live.write_config(live.generation + 1, timeout_ms)
+    live.fleet.kill(context.machine.name)
+    live.start_node(context.machine, wait=False)
+    context.connection = _open_when_listening(context.machine)
+    live.fleet.signal(context.machine.name, signal.SIGSTOP)
+    _send_on(context.connection, "held-up")
+    time.sleep(ms / 1000)
+    live.fleet.signal(context.machine.name, signal.SIGCONT)
+
+
+def _open_when_listening(machine: Machine) -> http.client.HTTPConnection:
+    while True:
+        try:
+            connection = _open_connection(machine)
+        except ConnectionRefusedError:
+            time.sleep(0.01)
+            continue
+        connection.sock.settimeout(START_TIMEOUT_S)
+        return connection
+
+
+@then("the request is answered with status {status:d} and has run {count:d} times")
+def step_answered_after_start(context: Any, status: int, count: int) -> None:
+    response = context.connection.getresponse()
+    assert response.status == status, response.status
+    response.read()
+    context.runs = [
+        run
+        for machine in context.live.machines
+        for run in context.live.read_report(machine)["ledger"]
+        if run["attempt"] == "held-up"
+    ]
+    assert len(context.runs) == count, context.runs
+
+
+@then("the target was given at most {ms:d} ms")
+def step_time_left_at_target(context: Any, ms: int) -> None:
+    assert all(int(run["timeout_ms"]) <= ms for run in context.runs), context.runs
+
+
 @when("the store takes {ms:d} ms for each response and a node is killed and started again")
 def step_restart_with_slow_store(context: Any, ms: int) -> None:
     http_json("POST", f"{context.live.fleet.platform_url}/faults", {"delay_ms": ms})
