Give each call to the store its own connection

What callers saw: a second copy of a response of the store, sent late on a connection that was in use again, was returned as the response to the next call: another object or an older version of it, the listing of another kind, or the acknowledgement of a write or removal that the store had refused.

Cause: the client kept connections open between calls, and the store's responses do not name the call that they answer. Twisted drops bytes behind a response that come in the same read and closes an idle connection on which bytes arrive, but takes the first response after a request for its own.

Ruled out: checking the name of the object that was asked for. A listing, a 404, a refusal and an older version of the same object prove nothing.

Change: the connection pool is gone, and with it the closing of its idle connections. What arrives on a connection can only belong to its one call. A body without a length needs no further proof: a JSON object that is cut, or followed by anything, does not decode.

The number of calls does not change. Each call also waits for one more round trip to the store, among them the claim of a keyed call.

--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -476,7 +476,6 @@
         self._peer_factory.close()
         self.peers.close()
         self.target.close()
-        await self.store.close()
         self.lifecycle.drained()
 
     async def _close_server(self, port: Any, factory: ServerFactory) -> None:
--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -12,7 +12,7 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
@@ -40,9 +40,6 @@
 WATCH_WAIT_MS = 25_000
 """Time that the store may hold a watch open without changes, in milliseconds; it allows 30,000."""
 
-MAX_IDLE_CONNECTIONS = 2
-"""Idle connections kept open: one for a watch, one for other calls."""
-
 MS_PER_SECOND = 1000
 
 STALE_READ_QUERY = {"serializable": 1}
@@ -120,26 +117,22 @@
 
 
 class StoreClient:
-    """Client of the platform's store; implements `foxtailproxy.store.Store`."""
+    """Client of the platform's store; implements `foxtailproxy.store.Store`.
+
+    Each call has its own connection, since a response does not name the call that it answers: on a
+    shared one, a second copy of a response could be taken for the response to the next call.
+    """
 
     def __init__(self, reactor: Any, settings: PlatformSection) -> None:
         self.counters = StoreCounters()
         self._is_unavailable = False
         self._url = settings.url
         self._timeout_s = settings.timeout_ms / MS_PER_SECOND
-        pool = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
-        pool.retryAutomatically = False
         self._reactor = reactor
-        self._pool = pool
         endpoints = _StoreEndpointFactory(reactor, self._timeout_s)
-        agent: Any = Agent.usingEndpointFactory(reactor, endpoints, pool)
+        agent: Any = Agent.usingEndpointFactory(reactor, endpoints)
         self._treq = HTTPClient(agent)
 
-    async def close(self) -> None:
-        """Close idle connections."""
-        await self._pool.closeCachedConnections()
-
     async def read(self, path: str, stale: bool = False) -> Result[StoredObject, StoreFailure]:
         """Read one object; if `stale`, it may be seconds old."""
         self.counters.reads += 1
--- a/foxtailproxy/store.py
+++ b/foxtailproxy/store.py
@@ -89,9 +89,6 @@
 
     counters: StoreCounters
 
-    async def close(self) -> None:
-        """Close idle connections."""
-
     async def read(self, path: str, stale: bool = False) -> Result[StoredObject, StoreFailure]:
         """Read an object; with `stale` it may be seconds old, at a lower price."""
 
--- a/foxtailproxy/tests/steps/store.py
+++ b/foxtailproxy/tests/steps/store.py
@@ -71,8 +71,7 @@
         if self.config_sync is not None:
             self.config_sync.close()
         self.standin.store.compact()
-        self.listening_port.stopListening()
-        return ensureDeferred(self.client.close())
+        return self.listening_port.stopListening()
 
     def put(self, path: str, value: Any) -> ObjectRecord:
         """Write an object into the stand-in."""
