Do not follow a redirect of the store

What callers saw: a write or removal that the store answered with 303 counted as acknowledged, and a redirected read returned the object at the other address, since the client followed the redirect with a GET and took its response for that to the call. Each redirect made one more call, which is priced.

Cause: treq follows redirects unless told otherwise. The store's protocol has none, so that only a proxy in front of it would send one.

Fix: redirects are not followed; their status is no answer (Unreachable).

--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -222,7 +222,12 @@
         headers: Any = {} if data is None else {"content-type": "application/json"}
         try:
             response = await self._treq.request(
-                method, self._url + path, headers=headers, data=data, timeout=timeout_s
+                method,
+                self._url + path,
+                headers=headers,
+                data=data,
+                timeout=timeout_s,
+                allow_redirects=False,
             )
             body = await treq.content(response).addTimeout(timeout_s, self._reactor)
         except CancelledError:
--- a/foxtailproxy/tests/steps/store_answers.py
+++ b/foxtailproxy/tests/steps/store_answers.py
@@ -86,6 +86,14 @@
     _run_calls(context)
 
 
+@when('the call "{call}" is answered with the redirect {status} to an object of value {value:d}')
+def step_redirect(context: Any, call: str, status: str, value: int) -> None:
+    script = AnswerScript("with a length", SENT_ONCE, "with a length")
+    context.calls.append((call, StoreScript(f"redirect {status}", script)))
+    context.live.store.redirected = StoreScript(f"value {value}", script)
+    _run_calls(context)
+
+
 def _run_calls(context: Any) -> None:
     async def run() -> list[str]:
         return [_describe(await context.live.call(*call)) for call in context.calls]
@@ -98,6 +106,11 @@
     assert context.results == [first, second], context.results
 
 
+@then('the calls return only "{result}"')
+def step_only_result(context: Any, result: str) -> None:
+    assert context.results == [result], context.results
+
+
 @then("the store has received {count:d} requests")
 def step_requests(context: Any, count: int) -> None:
     requests = context.live.store.requests
--- a/foxtailproxy/tests/store_answers.feature
+++ b/foxtailproxy/tests/store_answers.feature
@@ -107,3 +107,19 @@
       | create claims/b 2 | Refused      | with a length | comes after a copy of the earlier one                       |
       | delete claims/b   | Refused      | with a length | comes after a copy of the earlier one                       |
       | list members      | listing of 3 | with a length | has a copy of the earlier one inside                        |
+
+  # Guards against a write that counts as acknowledged because an object could be read.
+  Scenario Outline: "<call>" is answered with the redirect <status>
+    When the call "<call>" is answered with the redirect <status> to an object of value 2
+    Then the calls return only "Unreachable"
+    And the store has received 1 requests
+
+    Examples:
+      | call              | status |
+      | read claims/a     | 303    |
+      | list members      | 307    |
+      | create claims/a 2 | 302    |
+      | update claims/a 2 | 303    |
+      | update claims/a 2 | 307    |
+      | delete claims/a   | 301    |
+      | delete claims/a   | 303    |
--- a/foxtailproxy/tests/store_scripts.py
+++ b/foxtailproxy/tests/store_scripts.py
@@ -19,6 +19,10 @@
     "Conflict": b"409 Conflict",
     "HistoryGone": b"410 Gone",
     "Refused": b"503 Service Unavailable",
+    **{
+        f"redirect {status}": b"%d Redirect\r\nLocation: /objects/claims/a" % status
+        for status in (301, 302, 303, 307)
+    },
 }
 
 
@@ -75,7 +79,8 @@
         self._received = b""
         method, path = head.decode().split()[:2]
         self.factory.requests.append(f"{method} {path}")
-        self._answer(path, self.factory.scripts.popleft())
+        scripts = self.factory.scripts
+        self._answer(path, scripts.popleft() if scripts else self.factory.redirected)
 
     def _answer(self, path: str, step: StoreScript) -> None:
         script = step.script
@@ -95,13 +100,17 @@
 
 
 class ScriptedStore(Factory):
-    """Store on a loopback port; `scripts` are those of the calls to come, in order."""
+    """Store on a loopback port.
+
+    `scripts` are those of the calls to come, in order, and `redirected` that of any other request.
+    """
 
     protocol = _ScriptedConnection
     noisy = False
 
     def __init__(self) -> None:
         self.scripts: deque[StoreScript] = deque()
+        self.redirected: StoreScript | None = None
         self.requests: list[str] = []
         twisted_reactor: Any = reactor
         self._listening_port = twisted_reactor.listenTCP(0, self, interface="127.0.0.1")
