Close the connection of a call to the store whose response stalls

What was seen: after a call had been given up because the rest of its response did not come, its connection stayed open until the store closed it. Callers saw nothing wrong; one connection was left for each such call.

Cause: cancelling treq.content leaves the connection as it is, and Twisted's readBody cannot close it either, since the transport that a response passes on has no abortConnection.

Fix: the body is read by a protocol that closes its connection when it is cancelled. As before, it accepts a body that the end of the connection ends.

--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -7,12 +7,13 @@
 
 import msgspec
 import structlog
-import treq
 from expression import Error, Ok, Result
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.web.client import Agent
+from twisted.internet.protocol import Protocol
+from twisted.web.client import Agent, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
@@ -31,8 +32,6 @@
 )
 
 if TYPE_CHECKING:
-    from twisted.internet.defer import Deferred
-
     from foxtailproxy.models.settings import PlatformSection
 
 log = structlog.get_logger()
@@ -116,6 +115,32 @@
         return protocol
 
 
+class _BodyReader(Protocol):
+    """Reader of a response's body; cancelling `body` closes the connection.
+
+    A body without a length ends with its connection: JSON that is cut does not decode.
+    """
+
+    transport: Any = None
+
+    def __init__(self) -> None:
+        self.body: Deferred[bytes] = Deferred(lambda _: self.transport.loseConnection())
+        self._received = bytearray()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep the bytes."""
+        self._received += data
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Complete the body if it is whole or has no length, and fail it otherwise."""
+        if self.body.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.body.callback(bytes(self._received))
+        else:
+            self.body.errback(reason)
+
+
 class StoreClient:
     """Client of the platform's store; implements `foxtailproxy.store.Store`.
 
@@ -228,8 +253,11 @@
                 data=data,
                 timeout=timeout_s,
                 allow_redirects=False,
+                unbuffered=True,
             )
-            body = await treq.content(response).addTimeout(timeout_s, self._reactor)
+            reader = _BodyReader()
+            response.deliverBody(reader)
+            body = await reader.body.addTimeout(timeout_s, self._reactor)
         except CancelledError:
             return Error(Unreachable("the request was cancelled"))
         except Exception as error:
--- a/foxtailproxy/tests/steps/store_answers.py
+++ b/foxtailproxy/tests/steps/store_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from behave import given, then, when
@@ -115,3 +116,9 @@
 def step_requests(context: Any, count: int) -> None:
     requests = context.live.store.requests
     assert len(requests) == count, requests
+
+
+@then("the store has no open connection {within_ms:d} ms later")
+def step_no_connection(context: Any, within_ms: int) -> None:
+    time.sleep(within_ms / 1000)
+    assert context.live.store.open_connections == 0, context.live.store.open_connections
--- a/foxtailproxy/tests/store_answers.feature
+++ b/foxtailproxy/tests/store_answers.feature
@@ -123,3 +123,19 @@
       | update claims/a 2 | 307    |
       | delete claims/a   | 301    |
       | delete claims/a   | 303    |
+
+  # Guards against connections that stay open after their calls have been given up.
+  Scenario Outline: "<call>" gets an answer <framing> that <event>, and its connection is closed
+    When the call "<call>" gets the answer "<answer>" <framing>, which <event>
+    Then the calls return only "<result>"
+    And the store has no open connection 100 ms later
+
+    Examples:
+      | call            | answer       | framing          | event                    | result       |
+      | read claims/a   | value 1      | with a length    | is sent once             | value 1      |
+      | read claims/a   | value 1      | in chunks        | is sent again at once    | value 1      |
+      | read claims/a   | value 1      | with a length    | stalls                   | Unreachable  |
+      | read claims/a   | value 1      | in chunks        | stalls                   | Unreachable  |
+      | read claims/a   | value 1      | without a length | stalls                   | Unreachable  |
+      | delete claims/a | nothing      | with a length    | stalls                   | Unreachable  |
+      | list members    | listing of 3 | in chunks        | stalls                   | Unreachable  |
--- a/foxtailproxy/tests/store_scripts.py
+++ b/foxtailproxy/tests/store_scripts.py
@@ -66,9 +66,15 @@
         self._received = b""
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Write at once."""
+        """Count the connection, and write at once."""
+        self.factory.open_connections += 1
         self.transport.setTcpNoDelay(True)
 
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Count the closed connection."""
+        self.factory.open_connections -= 1
+        super().connectionLost(reason)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answer a request once it has arrived in whole."""
         self._received += data
@@ -112,6 +118,7 @@
         self.scripts: deque[StoreScript] = deque()
         self.redirected: StoreScript | None = None
         self.requests: list[str] = []
+        self.open_connections = 0
         twisted_reactor: Any = reactor
         self._listening_port = twisted_reactor.listenTCP(0, self, interface="127.0.0.1")
 
