Count an ack only from the node that was pinged

What was seen: a ping of a node that had failed counted as answered when another node acknowledged it, such as one that got the address of the first. The failed node stayed in use until a later ping found it. A relay forwarded such an ack as well. Callers would see calls sent to a node that is gone.

Cause: an ack was matched by its sequence number alone; its sender was not compared with the node that the ping was for.

Fix: an ack of another node is ignored, and the ping stays open for the right one.

--- a/foxtailproxy/failure_detector.py
+++ b/foxtailproxy/failure_detector.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
@@ -42,6 +43,15 @@
 """One out of this many pings goes to another data centre of the region."""
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedPing:
+    """Ping of a node that is sent for a peer, which gets the ack under its own sequence number."""
+
+    subject_id: str
+    requested_sequence: int
+    requester: Address
+
+
 class FailureDetector:
     """Detector of failed nodes in the local region; `disseminate` passes changed records on."""
 
@@ -63,7 +73,7 @@
         self._ping_count = 0
         self._ping_order: list[str] = []
         self._pending_pings: dict[int, str] = {}
-        self._relayed_pings: dict[int, tuple[int, Address]] = {}
+        self._relayed_pings: dict[int, RelayedPing] = {}
 
     def ping_next(self) -> None:
         """Ping the next peer, and remove expired records of dead nodes."""
@@ -207,13 +217,18 @@
         self._socket.send_to_address(address, ack)
 
     def handle_ack(self, packet: GossipPacket) -> None:
-        """Record the ack of a ping, and forward it if the ping was relayed for a peer."""
-        self._pending_pings.pop(packet.sequence, None)
-        relayed = self._relayed_pings.pop(packet.sequence, None)
-        if relayed is not None:
-            sequence, address = relayed
-            ack = GossipPacket(PacketKind.ack, packet.sender, sequence)
-            self._socket.send_to_address(address, ack)
+        """Record the ack of a ping, and forward it if the ping was relayed for a peer.
+
+        An ack of another node than the one that was pinged is ignored: it may have the address of
+        one that failed.
+        """
+        if self._pending_pings.get(packet.sequence) == packet.sender:
+            del self._pending_pings[packet.sequence]
+        relayed = self._relayed_pings.get(packet.sequence)
+        if relayed is not None and relayed.subject_id == packet.sender:
+            del self._relayed_pings[packet.sequence]
+            ack = GossipPacket(PacketKind.ack, packet.sender, relayed.requested_sequence)
+            self._socket.send_to_address(relayed.requester, ack)
 
     def handle_ping_request(self, packet: GossipPacket, address: Address) -> None:
         """Ping a node on behalf of a peer."""
@@ -221,6 +236,6 @@
         if subject is None:
             return
         sequence = self._socket.next_sequence()
-        self._relayed_pings[sequence] = (packet.sequence, address)
+        self._relayed_pings[sequence] = RelayedPing(subject.node_id, packet.sequence, address)
         self._socket.send(subject, self._socket.build_packet(PacketKind.ping, sequence))
         self._clock.call_later(PING_TIMEOUT_MS * 2, self._relayed_pings.pop, sequence, None)
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -223,3 +223,18 @@
       | after a ping              | 4000 | an ack           | alive   |
       | after it suspected a peer | 4000 | its refutation   | alive   |
       | after it suspected a peer | 4000 | nothing          | dead    |
+
+  # Guards against a node that failed and counts as alive, since another one answers at its address.
+  Scenario Outline: A node's <ping> of a silent peer is acknowledged by <sender>
+    Given a node with 3 peers in its data centre, one of which is silent
+    When the node's <ping> of it is acknowledged by <sender>
+    Then the peer counts as <state> and the node forwards <forwarded> acks
+
+    Examples:
+      | ping         | sender                    | state   | forwarded |
+      | ping         | that peer                 | alive   | 0         |
+      | ping         | another one               | suspect | 0         |
+      | ping         | one that nobody knows     | suspect | 0         |
+      | relayed ping | that peer                 | alive   | 1         |
+      | relayed ping | another one               | alive   | 0         |
+      | relayed ping | another one and that peer | alive   | 1         |
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -421,3 +421,39 @@
     if state == "alive":
         assert SUBJECT not in node.declared_dead
         assert context.packet != "an ack" or SUBJECT not in node.suspected
+
+
+@when("the node's {ping} of it is acknowledged by {sender}")
+def step_acknowledge(context: Any, ping: str, sender: str) -> None:
+    clock, node = context.clock, context.node
+    context.sent = []
+    node.gossip.socket.transport = SimpleNamespace(
+        write=lambda data, address: context.sent.append((data, address))
+    )
+    if ping == "ping":
+        node.gossip.detector.probe(node.table.by_id[SUBJECT])
+    else:
+        _receive(node, GossipPacket(PacketKind.ping_request, "n1", 7, subject=SUBJECT))
+    sequence = node.gossip.socket.next_sequence() - 1
+    ids_by_sender = {
+        "that peer": [SUBJECT],
+        "another one": ["n2"],
+        "one that nobody knows": ["n9"],
+        "another one and that peer": ["n2", SUBJECT],
+    }
+    for node_id in ids_by_sender[sender]:
+        _receive(node, GossipPacket(PacketKind.ack, node_id, sequence))
+    advance(clock, 1000)
+
+
+@then("the peer counts as {state} and the node forwards {count:d} acks")
+def step_seen_and_forwarded(context: Any, state: str, count: int) -> None:
+    seen = context.node.table.by_id[SUBJECT].state
+    assert seen == state, seen
+    to_requester = [data for data, address in context.sent if address == ("n1", 1)]
+    acks = [
+        packet
+        for packet in (msgspec.msgpack.decode(data, type=GossipPacket) for data in to_requester)
+        if packet.kind is PacketKind.ack
+    ]
+    assert [(ack.sender, ack.sequence) for ack in acks] == count * [(SUBJECT, 7)], acks
