Watch the server of a large answer until the answer has ended

Seen by callers: a part of a large answer without a length looked whole to a slow reader. Cause: the server was watched by eight connections at most, one after another. One that closes unused connections used them up long before the reader had gone on, or a full one within half a second; if it was killed and replaced after that, its close, which waits behind the bytes that are not read, came from an address that another server had. A watch that could not be opened was given up without a check.

Now there is no such limit. If the server does not keep a connection for half a second, the next one is opened after a pause of that time; one that cannot be opened causes a check at once. A server that closes connections at once, and is killed and replaced within the pause, is still not noticed.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -12,6 +12,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.internet.task import deferLater
 from zope.interface import implementer
 
 from foxtailproxy.http import messages
@@ -57,8 +58,8 @@
 """Framing of a body without a length whose end is the end of its connection."""
 
 
-MAX_WATCHES = 8
-"""Connections by which the server of one body is watched, one after another; it may close them."""
+WATCH_PAUSE_S = 0.5
+"""Pause before a server that does not keep a connection for as long is watched by another, in s."""
 
 ENDED_BY_CLOSE = "close"
 ENDED_BY_COPY = "copy"
@@ -156,7 +157,8 @@
         self._reading_paused = False
         self._end_notice: EndNotice | None = None
         self._watch: ClientConnection | None = None
-        self._watches_opened = 0
+        self._watching = False
+        self._watched_since_s = 0.0
         self._was_lost = False
         self._matcher: ResponseMatcher | None = None
         self._response_id: str | None = None
@@ -254,7 +256,7 @@
         if not self.closed and not self._reading_paused:
             self._reading_paused = True
             self.transport.pauseProducing()
-            if self.trace.framing == FRAMED_BY_CLOSE and not self._watches_opened:
+            if self.trace.framing == FRAMED_BY_CLOSE and not self._watching:
                 self._watch_for_end()
 
     def resume_body(self) -> None:
@@ -268,9 +270,11 @@
         self.fail(ExchangeCancelled())
 
     def _watch_for_end(self) -> None:
-        if getattr(self.transport, "reactor", None) is not None:
-            self._end_notice = EndNotice(self.transport, self._server_closed)
-            self._end_notice.start()
+        self._watching = True
+        if getattr(self.transport, "reactor", None) is None:
+            return
+        self._end_notice = EndNotice(self.transport, self._server_closed)
+        self._end_notice.start()
         ensureDeferred(self._open_watch())  # type: ignore[arg-type]
 
     def _server_closed(self) -> None:
@@ -284,13 +288,23 @@
         The close of a server that ends may wait behind bytes that are not read. By the time that
         it arrives, another server may have the address.
         """
-        self._watches_opened += 1
-        if self.open_watch is None or self._watches_opened > MAX_WATCHES:
+        if self.open_watch is None:
             return
+        self._watched_since_s = self.transport.reactor.seconds()
         self._watch = await self.open_watch(self._watch_ended)
-        if self._watch is not None and self.closed:
+        if self._watch is None:
+            self._watch_ended()
+        elif self.closed:
             self._watch.abort()
 
+    async def _watch_again(self) -> None:
+        """Watch the server by another connection, after a pause if it does not keep them."""
+        reactor = self.transport.reactor
+        if reactor.seconds() - self._watched_since_s < WATCH_PAUSE_S:
+            await deferLater(reactor, WATCH_PAUSE_S)
+        if not self.closed and self._end_confirmed is None:
+            await self._open_watch()
+
     def _watch_ended(self) -> None:
         if not self.closed and self._end_confirmed is None:
             self._end_confirmed = ensureDeferred(  # type: ignore[assignment]
@@ -305,7 +319,7 @@
             return await self._confirm_end()
         if runs:
             self._end_confirmed = None
-            await self._open_watch()
+            ensureDeferred(self._watch_again())  # type: ignore[arg-type]
         return runs
 
     async def _confirm_end(self) -> bool:
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -264,6 +264,12 @@
     When the reader of the response goes on after that
     Then that answer is not complete
 
+  # Guards against a part of an answer that looks whole: the server has closed all connections that watched it.
+  Scenario: The process closes unused connections, and is killed and replaced while the reader of a large answer is slow
+    Given a server that sends as much of a large response as the network takes, closes unused connections, ends after 1.5 s, and is replaced after 1 s
+    When the reader of the response goes on 3 s after its start
+    Then that answer is not complete
+
   # Guards against a whole answer that is refused because its process ended after it, and before its reader went on.
   Scenario: The process ends after a whole answer, while the reader of that answer waits
     Given a server that closes a whole response without a length and ends 50 ms later
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -578,6 +578,35 @@
     _start(context, _fill_and_replace)
 
 
+def _close_unused_and_replace(context: Any) -> None:
+    connection, _ = context.listener.accept()
+    connection.recv(65536)
+    connection.sendall(PLAIN_RESPONSE)
+    connection.settimeout(PAUSE_S)
+    with suppress(TimeoutError):
+        while True:
+            connection.send(FIRST_PART)
+    ends_s = time.monotonic() + 1.5
+    while (left_s := ends_s - time.monotonic()) > 0:
+        context.listener.settimeout(left_s)
+        with suppress(TimeoutError):
+            further, _ = context.listener.accept()
+            time.sleep(PAUSE_S)
+            further.close()
+    context.listener.close()
+    connection.close()
+    time.sleep(1)
+    context.listener = socket.create_server(("127.0.0.1", context.port))
+
+
+@given(
+    "a server that sends as much of a large response as the network takes, closes unused "
+    "connections, ends after 1.5 s, and is replaced after 1 s"
+)
+def step_closes_unused_and_replaced(context: Any) -> None:
+    _start(context, _close_unused_and_replace)
+
+
 def _close_and_end(context: Any) -> None:
     connection, _ = context.listener.accept()
     connection.recv(65536)
@@ -756,6 +785,18 @@
     _read(context, _pause_before_reading, BodyStream.from_bytes(b""))
 
 
+async def _pause_long_before_reading(
+    response: Any, request_body: BodyStream, sink: EndSink
+) -> None:
+    await deferLater(reactor, 3)
+    response.body.attach(sink)
+
+
+@when("the reader of the response goes on 3 s after its start")
+def step_read_much_later(context: Any) -> None:
+    _read(context, _pause_long_before_reading, BodyStream.from_bytes(b""))
+
+
 @when("the reader of the response waits for its end")
 def step_read(context: Any) -> None:
     _read(context, _read_at_once, BodyStream.from_bytes(b""))
