Take an answer for a peer's only if it comes from a node

Callers could get the answer of another server as that of the target, and a call that may not run again could be told an outcome that no node had reported. Cause: a response to a call, or to a query for its outcome, that did not name a failure counted as an answer of the peer's target, also if another server had got the peer's address.

Each answer of a node has its load. One that has neither a load nor a failure now breaks the connection, so that the outcome is queried as after any lost connection.

Of the six rows of the new table, four failed before (21 passed, 4 failed in the feature) and all pass now (25 passed, 0 failed). The answers of the test's peer had no load and got one, since a real node's have it; 5 rows of the feature failed without.

--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -294,7 +294,14 @@
         self._max_silence_ms_by_connection.pop(connection, None)
 
     async def _read_outcome(self, response: ClientResponse) -> Outcome:
+        """Return the outcome that a response reports. Raises `HttpError`.
+
+        Each answer of a node has its load. Another server may have got the address of the peer.
+        """
         failure = parse_failure(response.head.headers)
+        if failure is None and get_header(response.head.headers, LOAD_HEADER) is None:
+            response.body.cancel()
+            raise MalformedResponse
         await response.body.buffer(self._limits.replay_bytes)
         if failure is not None:
             return Error(failure)
--- a/foxtailproxy/tests/peer_connection.feature
+++ b/foxtailproxy/tests/peer_connection.feature
@@ -54,6 +54,23 @@
       | may     | nothing is                    | nothing yet | 2     |
       | may not | nothing is                    | nothing yet | 2     |
 
+  # Guards against an answer of a server that has got the address of the peer.
+  Scenario Outline: <server> answers <what> about a call that <may> run again
+    Given a client of a peer
+    When a call that <may> run again with 5000 ms left waits for a connection
+    And the connection opens
+    And <server> answers <what> in the place of the peer
+    Then the call ended as <outcome> over <count> connections
+
+    Examples:
+      | may     | server                           | what      | outcome     | count |
+      | may     | the peer                         | the call  | answered    | 1     |
+      | may     | another server                   | the call  | nothing yet | 2     |
+      | may not | another server                   | the call  | nothing yet | 2     |
+      | may not | another server, with status 404, | the call  | nothing yet | 2     |
+      | may not | the peer                         | the query | answered    | 2     |
+      | may not | another server, with status 404, | the query | nothing yet | 2     |
+
   # Guards against a call that ran and is reported as "not run": it went to the process before over a connection
   # that was still open, and the process that its record names was queried, and had never received it.
   Scenario: A call is sent on connections to the process that its record names
--- a/foxtailproxy/tests/steps/peer_connection.py
+++ b/foxtailproxy/tests/steps/peer_connection.py
@@ -8,14 +8,26 @@
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
+from foxtailproxy.load import Load
 from foxtailproxy.tests.fakes import advance, make_member
 from foxtailproxy.tests.memory_peer import MemoryPeer
+from foxtailproxy.wire import LOAD_HEADER
 
 HEARTBEAT = b"HTTP/1.1 102 Processing\r\n\r\n"
 
-ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+LOAD_LINE = b"%s: %s\r\n" % (LOAD_HEADER, Load(0, 0, 4, 10.0).to_header())
 
-HALF_OF_LARGE_ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n" + bytes(100_000)
+ANSWER = b"HTTP/1.1 200 OK\r\n%scontent-length: 2\r\n\r\nok" % LOAD_LINE
+
+HALF_OF_LARGE_ANSWER = b"HTTP/1.1 200 OK\r\n%scontent-length: 200000\r\n\r\n" % LOAD_LINE + bytes(
+    100_000
+)
+
+ANSWER_BY_SERVER = {
+    "the peer": ANSWER,
+    "another server": ANSWER.replace(LOAD_LINE, b""),
+    "another server, with status 404,": b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+}
 
 BYTES_BY_NAME = {
     "the answer is": ANSWER,
@@ -92,6 +104,14 @@
     assert context.peer.outcome() == "answered"
 
 
+@when("{server} answers {what} in the place of the peer")
+def step_server_answers(context: Any, server: str, what: str) -> None:
+    peer = context.peer
+    if what == "the query":
+        step_breaks(context, "the query is sent")
+    peer.protocols[-1].dataReceived(ANSWER_BY_SERVER[server])
+
+
 @when("another process of the peer takes its place")
 def step_replaced(context: Any) -> None:
     peer = context.peer
