--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -904,7 +904,8 @@
             for _ in range(target.announcement.slots + 1)
         ]
         outcomes = await gatherResults(sends)
-        await deferLater(reactor, PAUSE_S)
+        while len(context.checks) < sum(outcome.is_ok() for outcome in outcomes):
+            await deferLater(reactor, PAUSE_S / 5)
         for check in context.checks:
             check.callback(True)
         ends = []
