--- a/foxtailproxy/tests/answer_fuzz.py
+++ b/foxtailproxy/tests/answer_fuzz.py
@@ -148,7 +148,8 @@
     """One request, and what the server sends from then on until the next one.
 
     `must_complete` tells that nothing prevents the whole answer from being known as such.
-    `idle_reads` arrive when the exchange has ended.
+    `idle_reads` arrive when the exchange has ended, `late_bytes` before the next answer, if the
+    connection is used again.
     """
 
     answer: Answer
@@ -160,6 +161,7 @@
     must_complete: bool
     confirm_late: bool = False
     idle_reads: list[bytes] = field(default_factory=list)
+    late_bytes: bytes = b""
 
 
 class HistoryMaker:
@@ -167,6 +169,8 @@
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
+        self._late_random = Random(f"late {seed}")
+        self._late_copy_harms = False
         self.earlier: list[Answer] = []
         self._arrived: list[Answer] = []
         self._id_first = self.random.random() < 0.7
@@ -186,12 +190,27 @@
         if not answer.named:
             maker = self.random.choice((self._plain, self._cut))
         exchange = maker(answer)
+        exchange.must_complete = exchange.must_complete and not self._late_copy_harms
+        head_arrives = maker == self._plain and not self._late_copy_harms
+        self._late_copy_harms = False
+        if maker == self._plain and exchange.end == OPEN and self._late_random.random() < 0.4:
+            self._copy_late(exchange)
         if answer.named:
             self.earlier.append(answer)
-            if maker == self._plain:
+            if head_arrives:
                 self._arrived.append(answer)
         return exchange
 
+    def _copy_late(self, exchange: Exchange) -> None:
+        """Send a copy when the next request has been sent on the connection."""
+        answer = exchange.answer
+        copied = replace(answer, framing=self._late_random.choice(FRAMINGS))
+        exchange.late_bytes = copied.wire(self._late_random).data
+        exchange.story += f"; late copy {copied.framing}"
+        # After the others, the connection is not used again.
+        is_used_again = answer.named and answer.method != b"HEAD" and not answer.closes
+        self._late_copy_harms = is_used_again and copied.ended_by_close
+
     def _answer(self, number: int) -> Answer:
         random = self.random
         status = random.choices((200, 204, 304, 404, 503), (8, 1, 1, 1, 1))[0]
@@ -384,8 +403,11 @@
             if random.random() < 0.5:
                 exchange = self._make(answer, IDLE, story, wire.data, OPEN, True)
                 exchange.idle_reads = self._reads(copy.data[:size])
-                return exchange
-            return self._make(answer, BEHIND, story, wire.data + copy.data[:size], end, True)
+            else:
+                data = wire.data + copy.data[:size]
+                exchange = self._make(answer, BEHIND, story, data, end, True)
+            exchange.late_bytes = copy.data[size:]
+            return exchange
         reader = random.choice((LATE, BUFFERED, ""))
         must_complete = whole_own and bool(reader) and end == RUNS and len(answer.body) < 30_000
         data = wire.data + copy.data[:size]
@@ -500,6 +522,7 @@
         self._connection: ClientConnection | None = None
         self._transport = PausableTransport()
         self._lost = False
+        self._late_bytes = b""
         self._server_runs = True
         self._unconfirmed: list[Deferred[bool]] = []
 
@@ -516,7 +539,9 @@
         connection.request(request, BodyStream.from_bytes(b""), matcher).addCallbacks(
             reader.receive, reader.fail
         )
-        events: list[bytes | None] = [*exchange.reads]
+        late_bytes, self._late_bytes = self._late_bytes, exchange.late_bytes
+        events: list[bytes | None] = [late_bytes] if late_bytes else []
+        events += exchange.reads
         if exchange.end != OPEN:
             events.append(None)
         for number, event in enumerate(events):
@@ -548,6 +573,7 @@
         connection = self._connection = ClientConnection()
         self._transport = PausableTransport()
         self._lost = False
+        self._late_bytes = b""
         connection.makeConnection(self._transport)
         connection.seen_responses = self._seen_responses
         connection.on_idle = lambda _: None
--- a/foxtailproxy/tests/answer_fuzz_sockets.py
+++ b/foxtailproxy/tests/answer_fuzz_sockets.py
@@ -51,6 +51,7 @@
 
     def __init__(self) -> None:
         self._received = b""
+        self._late_bytes = b""
 
     def connectionMade(self) -> None:  # noqa: N802
         """Write at once."""
@@ -63,6 +64,8 @@
             return
         self._received = b""
         exchange: Exchange = self.factory.behaviour
+        self.transport.write(self._late_bytes)
+        self._late_bytes = b""
         if self.factory.answered is exchange:
             self.transport.write(self.factory.plain_answer(exchange))
             return
@@ -70,6 +73,7 @@
         reads = exchange.reads
         if len(reads) > MAX_READS:
             reads = [*reads[: MAX_READS - 1], b"".join(reads[MAX_READS - 1 :])]
+        self._late_bytes = exchange.late_bytes
         self._play([*reads, exchange.end])
         if exchange.idle_reads:
             self.transport.reactor.callLater(
