--- a/foxtailproxy/tests/answer_fuzz.py
+++ b/foxtailproxy/tests/answer_fuzz.py
@@ -15,6 +15,9 @@
 - a copy that begins less than a head before the end of a body with a length, if what follows
   that end is only line ends, or in a later read
 - a copy before an answer that is cut between the name of a header and its value
+- a body without a length that ends inside a quoted head: it is refused
+
+An answer may also be refused behind a copy that announces the close of its connection.
 """
 
 from __future__ import annotations
