Read an error answer to its end that is not the outcome of its call

Callers of other requests waited for a slot: a call whose target had answered with an error of over 64 KiB, while a second send was open, held the first target's slot until its deadline. Cause: only answers that came after the outcome were read and dropped; an error before it is no outcome either, and nobody read the rest of its body.

Now each answer that is not the outcome is read to its end.

--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -142,12 +142,11 @@
     def _on_outcome(self, outcome: Outcome) -> None:
         self._open_count -= 1
         answered = outcome.is_ok() and outcome.ok.head.status < SERVER_ERROR
-        if self.settled:
-            if outcome.is_ok():
-                outcome.ok.body.attach(DiscardSink())
-        elif answered or not self._open_count:
+        if not self.settled and (answered or not self._open_count):
             self.settled = True
             self.result.callback(outcome)
+        elif outcome.is_ok():
+            outcome.ok.body.attach(DiscardSink())
 
     def _on_failure(self, failure: Any) -> None:
         self._open_count -= 1
--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -76,3 +76,14 @@
       | event                  | ms  | sent | stopped |
       | the answer has arrived | 600 | a    | -       |
       | nothing has arrived    | 800 | a b  | a       |
+
+  # Guards against a slot that is held until the deadline by an error answer that nobody reads.
+  Scenario Outline: A large answer with status 500 comes before the other of two sends is answered with status <status>
+    Given a call with two open sends
+    When one gets a large answer with status 500, and the other one with status <status>
+    Then the call is answered with status <status>, and the rest of the large answer is read
+
+    Examples:
+      | status |
+      | 200    |
+      | 502    |
--- a/foxtailproxy/tests/steps/dispatch.py
+++ b/foxtailproxy/tests/steps/dispatch.py
@@ -7,15 +7,17 @@
 from typing import Any
 
 from behave import given, then, when
-from expression import Error
+from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from foxtailproxy.call import Call
 from foxtailproxy.config.rules import RuleBook
-from foxtailproxy.dispatch import Dispatcher
+from foxtailproxy.dispatch import Dispatcher, Race
+from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.messages import ResponseHead
 from foxtailproxy.metrics import Metrics
 from foxtailproxy.models.rules import FleetRule, Rules
-from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from foxtailproxy.outcome import Answer, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 from foxtailproxy.quarantine import Quarantine
 from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.routing import ChoiceEstimate, PeerChoice
@@ -239,3 +241,25 @@
     peers = context.peers
     actual = (" ".join(peers.sent) or "-", " ".join(peers.cancelled) or "-")
     assert actual == (sent, cancelled), actual
+
+
+@given("a call with two open sends")
+def step_two_sends(context: Any) -> None:
+    context.race, context.sends = Race(), [Deferred(), Deferred()]
+    for send in context.sends:
+        context.race.add(send)
+
+
+@when("one gets a large answer with status 500, and the other one with status {status:d}")
+def step_error_then_answer(context: Any, status: int) -> None:
+    context.large = BodyStream(None)
+    heads = [ResponseHead(500, b"Failed", []), ResponseHead(status, b"", [])]
+    bodies = [context.large, BodyStream.from_bytes(b"ok")]
+    for send, head, body in zip(context.sends, heads, bodies, strict=True):
+        send.callback(Ok(Answer(head, body)))
+
+
+@then("the call is answered with status {status:d}, and the rest of the large answer is read")
+def step_large_answer_read(context: Any, status: int) -> None:
+    assert context.race.result.result.ok.head.status == status
+    assert context.large.attached
