--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -12,7 +12,6 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol as TwistedProtocol
-from twisted.internet.task import deferLater
 from zope.interface import implementer
 
 from foxtailproxy.http import messages
@@ -26,18 +25,14 @@
     StrayResponse,
 )
 from foxtailproxy.http.response_copy import ResponseCopy
+from foxtailproxy.http.server_watch import ServerWatch
 from foxtailproxy.http.stray_head import (
     SeenResponses,
     StrayHeadScanner,
     holds_another_head,
     starts_response,
 )
-from foxtailproxy.http.transport import (
-    EndNotice,
-    enable_tcp_keepalive,
-    is_ended_by_peer,
-    write_now,
-)
+from foxtailproxy.http.transport import enable_tcp_keepalive, is_ended_by_peer, write_now
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -58,9 +53,6 @@
 """Framing of a body without a length whose end is the end of its connection."""
 
 
-WATCH_PAUSE_S = 0.5
-"""Pause before a server that does not keep a connection for as long is watched by another, in s."""
-
 ENDED_BY_CLOSE = "close"
 ENDED_BY_COPY = "copy"
 """End of a body where a second copy of its response begins, which has the same body."""
@@ -155,10 +147,7 @@
         self._request_sent = True
         self._request_chunked = False
         self._reading_paused = False
-        self._end_notice: EndNotice | None = None
-        self._watch: ClientConnection | None = None
-        self._watching = False
-        self._watched_since_s = 0.0
+        self._watch: ServerWatch | None = None
         self._was_lost = False
         self._matcher: ResponseMatcher | None = None
         self._response_id: str | None = None
@@ -176,7 +165,6 @@
         self._keep_alive = False
         self._overhead_bytes = 0
         self._copy: ResponseCopy | None = None
-        self._end_confirmed: Deferred[bool] | None = None
 
     @property
     def ended_by_peer(self) -> bool:
@@ -256,8 +244,8 @@
         if not self.closed and not self._reading_paused:
             self._reading_paused = True
             self.transport.pauseProducing()
-            if self.trace.framing == FRAMED_BY_CLOSE and not self._watching:
-                self._watch_for_end()
+            if self.trace.framing == FRAMED_BY_CLOSE and self._watch is None:
+                self._watch_server()
 
     def resume_body(self) -> None:
         """Resume reading the response."""
@@ -269,58 +257,10 @@
         """Abort the connection, since the rest of the response is not wanted."""
         self.fail(ExchangeCancelled())
 
-    def _watch_for_end(self) -> None:
-        self._watching = True
-        if getattr(self.transport, "reactor", None) is None:
-            return
-        self._end_notice = EndNotice(self.transport, self._server_closed)
-        self._end_notice.start()
-        ensureDeferred(self._open_watch())  # type: ignore[arg-type]
-
-    def _server_closed(self) -> None:
-        """Confirm the end of a body when the server closes, not when its reader goes on."""
-        if not self.closed and self._end_confirmed is None:
-            self._end_confirmed = ensureDeferred(self._confirm_end())  # type: ignore[arg-type]
-
-    async def _open_watch(self) -> None:
-        """Watch the server by another connection, until the body has ended.
-
-        The close of a server that ends may wait behind bytes that are not read. By the time that
-        it arrives, another server may have the address.
-        """
-        if self.open_watch is None:
-            return
-        self._watched_since_s = self.transport.reactor.seconds()
-        self._watch = await self.open_watch(self._watch_ended)
-        if self._watch is None:
-            self._watch_ended()
-        elif self.closed:
-            self._watch.abort()
-
-    async def _watch_again(self) -> None:
-        """Watch the server by another connection, after a pause if it does not keep them."""
-        reactor = self.transport.reactor
-        if reactor.seconds() - self._watched_since_s < WATCH_PAUSE_S:
-            await deferLater(reactor, WATCH_PAUSE_S)
-        if not self.closed and self._end_confirmed is None:
-            await self._open_watch()
-
-    def _watch_ended(self) -> None:
-        if not self.closed and self._end_confirmed is None:
-            self._end_confirmed = ensureDeferred(  # type: ignore[assignment]
-                self._confirm_end_of_watch()
-            )
-
-    async def _confirm_end_of_watch(self) -> bool:
-        """Return whether the server runs after the end of the watch, and watch it again if so."""
-        runs = await self._confirm_end()
-        if runs and self.ended_by_peer:
-            # The server closed during the check, which may have been too early for that.
-            return await self._confirm_end()
-        if runs:
-            self._end_confirmed = None
-            ensureDeferred(self._watch_again())  # type: ignore[arg-type]
-        return runs
+    def _watch_server(self) -> None:
+        if getattr(self.transport, "reactor", None) is not None:
+            self._watch = ServerWatch(self.transport, self._confirm_end, self.open_watch)
+            self._watch.start()
 
     async def _confirm_end(self) -> bool:
         return self.confirm_end is not None and await self.confirm_end()
@@ -376,10 +316,8 @@
         self.closed = True
         self.closed_regularly = reason is not None and reason.check(ConnectionDone) is not None
         self._end_exchange()
-        if self._end_notice is not None:
-            self._end_notice.close()
         if self._watch is not None:
-            self._watch.abort()
+            self._watch.close()
         if self.on_closed is not None:
             self.on_closed(self)
 
@@ -406,7 +344,8 @@
 
         The kernel closes the connections of a process that is killed as regularly.
         """
-        confirmed = await (self._end_confirmed or self._confirm_end())
+        verdict = None if self._watch is None else self._watch.verdict
+        confirmed = await (verdict or self._confirm_end())
         if self._response_body is not body:
             return
         if not confirmed:
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -442,6 +442,10 @@
         """Remove a reader."""
         self.readers.remove(reader)
 
+    def seconds(self) -> float:
+        """Return the time, which stands still."""
+        return 0.0
+
     def callLater(self, *call: Any) -> None:  # noqa: N802
         """Ignore a call, which time would have to pass for."""
 
@@ -500,7 +504,7 @@
     sink = RecordingSink()
     context.response.body.attach(sink)
     connection, checks = context.connection, context.checks
-    connection._watch_ended()
+    connection._watch.connection_ended()
     found = [verdict == "runs" for verdict in verdicts.split(", and later that it ")]
     if when == "during":
         connection.connectionLost(Failure(ConnectionDone()))
