--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -560,14 +560,20 @@
     _start(context, _end_and_replace)
 
 
-def _fill_and_replace(context: Any) -> None:
-    connection, _ = context.listener.accept()
+def _fill_connection(listener: socket.socket) -> socket.socket:
+    """Send as much of a large response as the network takes; return its connection."""
+    connection, _ = listener.accept()
     connection.recv(65536)
     connection.sendall(PLAIN_RESPONSE)
     connection.settimeout(PAUSE_S)
     with suppress(TimeoutError):
         while True:
             connection.send(FIRST_PART)
+    return connection
+
+
+def _fill_and_replace(context: Any) -> None:
+    connection = _fill_connection(context.listener)
     context.listener.close()
     connection.close()
     time.sleep(2 * PAUSE_S)
@@ -583,13 +589,7 @@
 
 
 def _close_unused_and_replace(context: Any) -> None:
-    connection, _ = context.listener.accept()
-    connection.recv(65536)
-    connection.sendall(PLAIN_RESPONSE)
-    connection.settimeout(PAUSE_S)
-    with suppress(TimeoutError):
-        while True:
-            connection.send(FIRST_PART)
+    connection = _fill_connection(context.listener)
     ends_s = time.monotonic() + 1.5
     while (left_s := ends_s - time.monotonic()) > 0:
         context.listener.settimeout(left_s)
