--- a/foxtailproxy/config/rules.py
+++ b/foxtailproxy/config/rules.py
@@ -12,12 +12,20 @@
 
 from foxtailproxy.config.ini import Problem, format_value, read_model, read_sections
 from foxtailproxy.exceptions import SettingsError
-from foxtailproxy.models.rules import ClassRule, FleetRule, RouteRule, Rules, ServiceRule
+from foxtailproxy.models.rules import (
+    ClassRule,
+    CustomerRule,
+    FleetRule,
+    RouteRule,
+    Rules,
+    ServiceRule,
+)
 
 FLEET = "fleet"
 SERVICE = "service"
 CLASS = "class"
 ROUTE = "route"
+CUSTOMER = "customer"
 
 SECTION_CACHE_SIZE = 2048
 """Maximum number of parsed sections in the cache; a configuration of 180 services has fewer."""
@@ -34,7 +42,7 @@
     reader.check()
     if reader.problems:
         raise SettingsError(source, list(reader.problems))
-    return Rules(reader.fleet, reader.services, reader.classes, reader.routes)
+    return Rules(reader.fleet, reader.services, reader.classes, reader.routes, reader.customers)
 
 
 @lru_cache(maxsize=SECTION_CACHE_SIZE)
@@ -56,6 +64,7 @@
         self.services: list[ServiceRule] = []
         self.classes: list[ClassRule] = []
         self.routes: list[RouteRule] = []
+        self.customers: list[CustomerRule] = []
         self.problems: list[Problem] = []
 
     def read(self, section: str, raw_values: dict[str, str]) -> None:
@@ -70,10 +79,12 @@
             self._add(ClassRule, section, raw_values, {"service": service, "name": class_name})
         elif kind == ROUTE and name:
             self._add(RouteRule, section, raw_values, {"name": name})
+        elif kind == CUSTOMER and name:
+            self._add(CustomerRule, section, raw_values, {"name": name})
         else:
             reason = (
                 "unknown section; valid sections: "
-                "fleet, service NAME, class SERVICE/NAME, route NAME"
+                "fleet, service NAME, class SERVICE/NAME, route NAME, customer NAME"
             )
             self.problems.append(Problem(section, "", "", reason))
 
@@ -94,6 +105,8 @@
             self.services.append(result.ok)
         elif isinstance(result.ok, RouteRule):
             self.routes.append(result.ok)
+        elif isinstance(result.ok, CustomerRule):
+            self.customers.append(result.ok)
         else:
             self.classes.append(result.ok)
 
@@ -122,6 +135,18 @@
             self._check_hold_time(section, rule)
         for route in self.routes:
             self._check_route(route, service_names)
+        self._check_customers()
+
+    def _check_customers(self) -> None:
+        """Check that no key belongs to two customers; the problem does not show the key."""
+        owner_by_key: dict[str, str] = {}
+        for customer in self.customers:
+            for key in customer.keys:
+                owner_name = owner_by_key.setdefault(key, customer.name)
+                if owner_name != customer.name:
+                    section = f"{CUSTOMER} {customer.name}"
+                    reason = f"a key already belongs to customer {owner_name}"
+                    self.problems.append(Problem(section, "keys", "", reason))
 
     def _check_route(self, route: RouteRule, service_names: set[str]) -> None:
         section = f"{ROUTE} {route.name}"
@@ -169,6 +194,8 @@
                 parts.append(_format_section(section, rule, ("service", "name")))
     for route in sorted(rules.routes, key=lambda route: route.name):
         parts.append(_format_section(f"{ROUTE} {route.name}", route, ("name",)))
+    for customer in sorted(rules.customers, key=lambda customer: customer.name):
+        parts.append(_format_section(f"{CUSTOMER} {customer.name}", customer, ("name",)))
     return "\n".join(parts)
 
 
@@ -289,6 +316,7 @@
 
     def __init__(self, rules: Rules) -> None:
         self.fleet = rules.fleet
+        self.customers = rules.customers
         self.service_by_name = {service.name: service for service in rules.services}
         self._service_by_host = {
             host.lower(): service for service in rules.services for host in service.hosts
--- a/foxtailproxy/config/settings.py
+++ b/foxtailproxy/config/settings.py
@@ -12,6 +12,8 @@
 from foxtailproxy.exceptions import FileError, SettingsError
 from foxtailproxy.models.settings import (
     BudgetsSection,
+    ColdStartSection,
+    CustomersSection,
     LimitsSection,
     LinksSection,
     NodeSection,
@@ -31,6 +33,8 @@
     "upstream": UpstreamSection,
     "budgets": BudgetsSection,
     "links": LinksSection,
+    "customers": CustomersSection,
+    "cold_start": ColdStartSection,
 }
 
 
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -390,6 +390,16 @@
     """
     The upstream takes no new work.
     """
+    cold_ms: Annotated[
+        int,
+        Meta(
+            description="How much longer the upstream stays cold after its start, in milliseconds; -1 where it is not known.",
+            ge=-1,
+        ),
+    ] = -1
+    """
+    How much longer the upstream stays cold after its start, in milliseconds; -1 where it is not known.
+    """
 
 
 class ClaimRecord(Struct):
--- a/foxtailproxy/models/rules.py
+++ b/foxtailproxy/models/rules.py
@@ -197,11 +197,25 @@
     """
     Path of the health check of its upstreams; empty for the path in the node's settings.
     """
+    cold_per_s: Annotated[
+        float,
+        Meta(
+            description="Requests per second that an upstream bears while it is cold after its start; 0 for no limit.",
+            ge=0.0,
+            le=1000000.0,
+        ),
+    ] = 0
+    """
+    Requests per second that an upstream bears while it is cold after its start; 0 for no limit.
+    """
 
 
 Method: TypeAlias = Annotated[str, Meta(pattern="^[A-Z]+$")]
 
 
+Region: TypeAlias = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
 class ClassRule(Struct):
     """
     Requests of one service that share the rules for retries, load shedding and queueing.
@@ -306,6 +320,19 @@
     """
     Latency objective: time within which an answer is worth most, in milliseconds; 0 for none.
     """
+    regions: Annotated[
+        list[Region],
+        Meta(description="Regions in which its requests may be served; empty for all."),
+    ] = field(default_factory=list)
+    """
+    Regions in which its requests may be served; empty for all.
+    """
+    auth_exempt: Annotated[
+        bool, Meta(description="Whether its requests need no key of a customer.")
+    ] = False
+    """
+    Whether its requests need no key of a customer.
+    """
 
 
 Service: TypeAlias = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}(=[0-9]{1,6})?$")]
@@ -416,6 +443,89 @@
     """
     Latency objective: time within which an answer is worth most, in milliseconds; 0 for none.
     """
+    regions: Annotated[
+        list[Region],
+        Meta(description="Regions in which its requests may be served; empty for all."),
+    ] = field(default_factory=list)
+    """
+    Regions in which its requests may be served; empty for all.
+    """
+    auth_exempt: Annotated[
+        bool, Meta(description="Whether its requests need no key of a customer.")
+    ] = False
+    """
+    Whether its requests need no key of a customer.
+    """
+
+
+Key: TypeAlias = Annotated[str, Meta(min_length=1)]
+
+
+class CustomerRule(Struct):
+    """
+    Customer whose callers identify themselves with one of its keys.
+    """
+
+    name: Annotated[
+        str,
+        Meta(
+            description="Name of the customer, which its requests carry to upstreams.",
+            max_length=63,
+            min_length=1,
+        ),
+    ]
+    """
+    Name of the customer, which its requests carry to upstreams.
+    """
+    keys: Annotated[
+        list[Key],
+        Meta(
+            description="Keys of the customer, separated by spaces; without any, its requests are refused."
+        ),
+    ] = field(default_factory=list)
+    """
+    Keys of the customer, separated by spaces; without any, its requests are refused.
+    """
+    priority: Annotated[
+        int,
+        Meta(
+            description="Priority of the customer's requests, in place of that of their class or route; -1 for theirs.",
+            ge=-1,
+            le=9,
+        ),
+    ] = -1
+    """
+    Priority of the customer's requests, in place of that of their class or route; -1 for theirs.
+    """
+    rate_per_s: Annotated[
+        float,
+        Meta(
+            description="Requests per second that the customer may send over all nodes; 0 for no limit.",
+            ge=0.0,
+            le=1000000.0,
+        ),
+    ] = 0
+    """
+    Requests per second that the customer may send over all nodes; 0 for no limit.
+    """
+    burst: Annotated[
+        float,
+        Meta(
+            description="Requests that the customer may send at once beyond that rate.",
+            ge=0.0,
+            le=1000000.0,
+        ),
+    ] = 0
+    """
+    Requests that the customer may send at once beyond that rate.
+    """
+    regions: Annotated[
+        list[Region],
+        Meta(description="Regions in which the customer's requests may be served; empty for all."),
+    ] = field(default_factory=list)
+    """
+    Regions in which the customer's requests may be served; empty for all.
+    """
 
 
 class Rules(Struct):
@@ -423,3 +533,4 @@
     services: list[ServiceRule]
     classes: list[ClassRule]
     routes: list[RouteRule] = field(default_factory=list)
+    customers: list[CustomerRule] = field(default_factory=list)
--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -411,6 +411,95 @@
     """
 
 
+class CustomersSection(Struct):
+    """
+    Terms of the customers' allowances and keys.
+    """
+
+    allowance_window_s: Annotated[
+        float,
+        Meta(
+            description="Window in which the requests of a customer are counted, in seconds.",
+            ge=0.1,
+            le=3600.0,
+        ),
+    ] = 5
+    """
+    Window in which the requests of a customer are counted, in seconds.
+    """
+    allowance_overage: Annotated[
+        float,
+        Meta(
+            description="Requests beyond the allowance of one window that all nodes together may admit, as a share of it.",
+            ge=0.0,
+            le=10.0,
+        ),
+    ] = 0
+    """
+    Requests beyond the allowance of one window that all nodes together may admit, as a share of it.
+    """
+    allowance_slack: Annotated[
+        float,
+        Meta(
+            description="Requests beyond that share that all nodes together may admit in one window.",
+            ge=0.0,
+            le=1000000.0,
+        ),
+    ] = 0
+    """
+    Requests beyond that share that all nodes together may admit in one window.
+    """
+    fail_closed: Annotated[
+        bool,
+        Meta(
+            description="Refuse requests that need a key when this node has not known for long whether its configuration is the newest."
+        ),
+    ] = False
+    """
+    Refuse requests that need a key when this node has not known for long whether its configuration is the newest.
+    """
+    fail_closed_after_ms: Annotated[
+        int,
+        Meta(
+            description="Time without that knowledge after which it refuses, in milliseconds.",
+            ge=0,
+            le=3600000,
+        ),
+    ] = 5000
+    """
+    Time without that knowledge after which it refuses, in milliseconds.
+    """
+
+
+class ColdStartSection(Struct):
+    """
+    Terms of the limit on requests to cold upstreams.
+    """
+
+    overage: Annotated[
+        float,
+        Meta(
+            description="Requests that a cold upstream may get in one second, as a multiple of its cold rate.",
+            ge=0.0,
+            le=100.0,
+        ),
+    ] = 1
+    """
+    Requests that a cold upstream may get in one second, as a multiple of its cold rate.
+    """
+    slack: Annotated[
+        float,
+        Meta(
+            description="Requests beyond that multiple that a cold upstream may get in one second.",
+            ge=0.0,
+            le=1000000.0,
+        ),
+    ] = 0
+    """
+    Requests beyond that multiple that a cold upstream may get in one second.
+    """
+
+
 class NodeSettings(Struct):
     node: NodeSection
     platform: PlatformSection
@@ -419,3 +508,5 @@
     upstream: UpstreamSection
     budgets: BudgetsSection
     links: LinksSection
+    customers: CustomersSection
+    cold_start: ColdStartSection
--- a/foxtailproxy/outcome.py
+++ b/foxtailproxy/outcome.py
@@ -41,6 +41,11 @@
     TOO_DEEP = "too-deep"
     BAD_REQUEST = "bad-request"
     REQUEST_CUT = "request-cut"
+    UNAUTHENTICATED = "unauthenticated"
+    ALLOWANCE_EXCEEDED = "allowance-exceeded"
+    NO_ALLOWED_TARGET = "no-allowed-target"
+    EVACUATED = "evacuated"
+    COLD = "cold"
 
 
 class UnknownReason(StrEnum):
--- a/foxtailproxy/platform/configuration.py
+++ b/foxtailproxy/platform/configuration.py
@@ -10,7 +10,7 @@
 from foxtailproxy.config.rules import route_weights
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.messages import ConfigObject
-from foxtailproxy.models.rules import FleetRule, RouteRule, Rules, ServiceRule
+from foxtailproxy.models.rules import CustomerRule, FleetRule, RouteRule, Rules, ServiceRule
 
 CONFIG_KIND = "config"
 CONFIG_PATH = "config/main"
@@ -74,6 +74,7 @@
     service: str = ""
     weighted_services: list[WeightedService] = []
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    allowed_regions: list[str] = []
 
 
 class WireRule(msgspec.Struct):
@@ -90,6 +91,7 @@
     slo_latency_ms: float = 0
     priority: int = LOWEST_PLATFORM_PRIORITY
     """0 is the highest priority."""
+    auth_exempt: bool = False
 
 
 class WireListener(msgspec.Struct):
@@ -100,11 +102,26 @@
 
 
 class WireCluster(msgspec.Struct):
-    """One service; `max_connections` applies to each of its upstreams, over all nodes."""
+    """One service; the other fields apply to each of its upstreams, over all nodes.
+
+    `cold_per_s` is the number of requests per second that an upstream bears while it is cold.
+    """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
+    cold_per_s: float = 0
+
+
+class WireTenant(msgspec.Struct):
+    """One customer; `rate_per_s` and `burst` limit its requests over all nodes, 0 for no limit."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+    allowed_regions: list[str] = []
 
 
 class WireConfig(msgspec.Struct):
@@ -113,6 +130,7 @@
     version: str
     listeners: list[WireListener]
     clusters: list[WireCluster]
+    tenants: list[WireTenant] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
 
@@ -151,6 +169,7 @@
                 long_after_ms=longest_objective_by_service.get(cluster.name, 0)
                 or ServiceRule("-").long_after_ms,
                 long_percent=LONG_CALL_SLOT_PERCENT,
+                cold_per_s=cluster.cold_per_s,
             )
             for cluster in config.clusters
         ]
@@ -163,7 +182,8 @@
             header_time_ms=limits.header_timeout_ms,
             idle_time_ms=limits.idle_timeout_ms,
         )
-        return Rules(fleet, services, [], routes)
+        customers = [_to_customer_rule(tenant) for tenant in config.tenants]
+        return Rules(fleet, services, [], routes, customers)
 
 
 def _decode(text: str, model: type[Any], source: str) -> Any:
@@ -200,9 +220,27 @@
         path_prefix=rule.match.path_prefix,
         idempotent=rule.route_type == IDEMPOTENT_ROUTE_TYPE,
         attempts=max(1, action.max_attempts),
-        priority=max(0, LOWEST_PLATFORM_PRIORITY - rule.priority),
+        priority=_to_priority(rule.priority),
         weight=max(1, HIGHEST_PRIORITY_WEIGHT // (rule.priority + 1)),
         deadline_ms=int(action.timeout_ms),
         hold_ms=int(action.timeout_ms),
         objective_ms=int(rule.slo_latency_ms),
+        regions=action.allowed_regions,
+        auth_exempt=rule.auth_exempt,
     )
+
+
+def _to_customer_rule(tenant: WireTenant) -> CustomerRule:
+    return CustomerRule(
+        name=tenant.name,
+        keys=tenant.api_keys,
+        priority=-1 if tenant.priority is None else _to_priority(tenant.priority),
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+        regions=tenant.allowed_regions,
+    )
+
+
+def _to_priority(platform_priority: int) -> int:
+    """Return a priority for which a higher number is more important."""
+    return max(0, LOWEST_PLATFORM_PRIORITY - platform_priority)
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -30,8 +30,11 @@
     NotRunReason.UNKNOWN_SERVICE: 404,
     NotRunReason.BAD_REQUEST: 400,
     NotRunReason.REQUEST_CUT: 400,
+    NotRunReason.UNAUTHENTICATED: 401,
+    NotRunReason.ALLOWANCE_EXCEEDED: 429,
 }
 NOT_RUN_STATUS = 503
+RETRY_LATER_STATUSES = frozenset((429, NOT_RUN_STATUS))
 TIMEOUT_STATUS = 504
 UNKNOWN_OUTCOME_STATUS = 502
 
@@ -136,7 +139,7 @@
         ]
         if isinstance(failure, NotRun):
             status = STATUS_BY_REASON.get(failure.reason, NOT_RUN_STATUS)
-            if status == NOT_RUN_STATUS:
+            if status in RETRY_LATER_STATUSES:
                 retry_wait_ms = max(
                     0.0, min(failure.retry_after_ms, remaining_ms * MAX_RETRY_WAIT_SHARE)
                 )
--- a/foxtailproxy/platform/headers.py
+++ b/foxtailproxy/platform/headers.py
@@ -26,6 +26,18 @@
 INSTANCE_ID = b"x-foxtailproxy-instance-id"
 """Id of the target process that answered."""
 
+TENANT = b"x-foxtailproxy-tenant"
+"""Customer whose key the caller sent; set by the system, whatever the caller sent."""
+
+COLD_MS = b"x-foxtailproxy-cold-ms"
+"""How much longer a target stays cold after its start, in milliseconds, in its health answers."""
+
+AUTHORIZATION = b"authorization"
+"""Key of a customer, as `Bearer KEY`."""
+
+STORE_ERA = b"store-era"
+"""Number that rises each time the store comes back from an older copy, in all its answers."""
+
 RETRY_AFTER = b"retry-after"
 """Seconds until a retry; may be a fraction."""
 
--- a/foxtailproxy/wire.py
+++ b/foxtailproxy/wire.py
@@ -46,10 +46,13 @@
     NotRunReason.TOO_DEEP: 508,
     NotRunReason.BAD_REQUEST: 400,
     NotRunReason.REQUEST_CUT: 400,
+    NotRunReason.UNAUTHENTICATED: 401,
+    NotRunReason.ALLOWANCE_EXCEEDED: 429,
 }
-"""Status codes of the reasons for which sending the same request again does not help."""
+"""Status codes of the reasons other than a lack of room or of targets."""
 
 UNAVAILABLE_STATUS = 503
+RETRY_LATER_STATUSES = frozenset((429, UNAVAILABLE_STATUS))
 UNKNOWN_STATUS = 504
 
 MS_PER_SECOND = 1000
@@ -210,7 +213,7 @@
         (OUTCOME_HEADER, format_outcome(failure)),
         (ATTEMPT_HEADER, attempt_id.encode()),
     ]
-    if status == UNAVAILABLE_STATUS:
+    if status in RETRY_LATER_STATUSES:
         retry_after_s = max(1, -(-failure.retry_after_ms // MS_PER_SECOND))
         headers.append((b"retry-after", b"%d" % retry_after_s))
         headers.append((RETRY_AFTER_HEADER, b"%d" % failure.retry_after_ms))
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -21,16 +21,20 @@
     "UpstreamSection": "upstream",
     "BudgetsSection": "budgets",
     "LinksSection": "links",
+    "CustomersSection": "customers",
+    "ColdStartSection": "cold_start",
     "FleetRule": "fleet",
     "ServiceRule": "service NAME",
     "ClassRule": "class SERVICE/NAME",
     "RouteRule": "route NAME",
+    "CustomerRule": "customer NAME",
 }
 
 KEYS_IN_SECTION_NAME = {
     "ServiceRule": {"name"},
     "ClassRule": {"service", "name"},
     "RouteRule": {"name"},
+    "CustomerRule": {"name"},
 }
 
 
