Identify customers by their keys at the entry of a request

Requests carried no identity that a node checks: the tenant was whatever the caller wrote. With customers in the configuration, a request needs a key unless its route is exempt, and gets 401 otherwise. Keys are looked up by a keyed digest and not forwarded; upstreams get the customer's name. The customer's priority, its weight and its regions replace or narrow those of the rule. Admission queues calls of one class by priority and weight, since one shared weight was that of the latest call. A request whose body arrives across a change of the configuration is decided by the new one. With fail_closed, a node that does not know its version to be the newest rejects requests that need a key. Keys are hidden in differences and in problems of configurations.

--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -55,9 +55,16 @@
         return self.started_ms >= 0
 
 
+QueueKey = tuple[str, int, int]
+"""Class, priority and weight of a queue: customers of one class may have different priorities."""
+
+
 @dataclass(eq=False, slots=True)
 class ClassQueue:
-    """Waiting calls of one class by tenant, with its weight, virtual time and mean service time."""
+    """Waiting calls of one class and priority by tenant.
+
+    They share a weight, a virtual time and a mean service time.
+    """
 
     weight: int
     virtual_time_ms: float = 0.0
@@ -116,7 +123,7 @@
         self.run_times = RunTimes(clock)
         self.failure_rate = FailureRate(clock)
         self._clock = clock
-        self._by_class: dict[str, ClassQueue] = {}
+        self._queue_by_key: dict[QueueKey, ClassQueue] = {}
         self._running: set[Ticket] = set()
         self._queued = 0
         self._virtual_time_ms = 0.0
@@ -157,12 +164,19 @@
         return self._queued > 0 or len(self._running) >= self.slots
 
     def _wait_by_class(self) -> dict[str, float]:
-        """Return the expected wait in ms of each class that has calls waiting, by class name."""
-        return {
-            key.rpartition("/")[2]: self._expected_wait_ms(queue)
-            for key, queue in self._by_class.items()
-            if queue.size
-        }
+        """Return the expected wait in ms of each class that has calls waiting, by class name.
+
+        A class with calls of several priorities has the mean of its waiting calls.
+        """
+        sizes: dict[str, int] = {}
+        waits_ms: dict[str, float] = {}
+        for (class_key, _, _), queue in self._queue_by_key.items():
+            if queue.size:
+                name = class_key.rpartition("/")[2]
+                wait_ms = self._expected_wait_ms(queue)
+                sizes[name] = sizes.get(name, 0) + queue.size
+                waits_ms[name] = waits_ms.get(name, 0.0) + wait_ms * queue.size
+        return {name: waits_ms[name] / size for name, size in sizes.items()}
 
     @property
     def idle(self) -> bool:
@@ -215,14 +229,14 @@
 
     def reject_waiting(self, reason: NotRunReason) -> None:
         """Reject every waiting call."""
-        for queue in self._by_class.values():
+        for queue in self._queue_by_key.values():
             for ticket in queue.tickets():
                 self._reject(ticket, reason)
 
     def sweep(self) -> None:
         """Reject the calls that have waited too long, and start waiting calls in free slots."""
         now = self._clock.now_ms()
-        for queue in self._by_class.values():
+        for queue in self._queue_by_key.values():
             for ticket in queue.tickets():
                 if ticket.call.deadline_ms <= now:
                     self._reject(ticket, NotRunReason.DEADLINE)
@@ -231,13 +245,19 @@
         self._admit_waiting()
 
     def _queue_of(self, call: Call) -> ClassQueue:
-        queue = self._by_class.get(call.class_key)
+        key = (call.class_key, call.rule.priority, call.rule.weight)
+        queue = self._queue_by_key.get(key)
         if queue is None:
-            queue = ClassQueue(call.rule.weight)
-            self._by_class[call.class_key] = queue
-        queue.weight = call.rule.weight
+            queue = ClassQueue(call.rule.weight, service_ms=self._service_ms_of(call.class_key))
+            self._queue_by_key[key] = queue
         return queue
 
+    def _service_ms_of(self, class_key: str) -> float:
+        """Return the service time of a class as one of its queues knows it, in ms."""
+        known = (queue for key, queue in self._queue_by_key.items() if key[0] == class_key)
+        queue = next(known, None)
+        return INITIAL_SERVICE_MS if queue is None else queue.service_ms
+
     # Starting calls
 
     def _may_run(self, ticket: Ticket) -> bool:
@@ -305,7 +325,7 @@
         return call.objective_left_ms(self._clock) < self.expected_run_ms(call)
 
     def _next_queue(self) -> ClassQueue | None:
-        ready = [q for q in self._by_class.values() if q.size and self._may_run(q.peek())]
+        ready = [q for q in self._queue_by_key.values() if q.size and self._may_run(q.peek())]
         if not ready:
             return None
         if self.fair_queueing:
@@ -345,7 +365,7 @@
         return usual_ms * self.slowness.expected() * self.run_times.unreported_slowness()
 
     def _expected_wait_ms(self, queue: ClassQueue) -> float:
-        total_weight = sum(q.weight for q in self._by_class.values() if q.size or q is queue)
+        total_weight = sum(q.weight for q in self._queue_by_key.values() if q.size or q is queue)
         share = self.slots * queue.weight / total_weight
         return queue.size * queue.service_ms / max(share, 0.01)
 
@@ -357,7 +377,7 @@
         """
         lower_queues = [
             queue
-            for queue in self._by_class.values()
+            for queue in self._queue_by_key.values()
             if queue.size and queue.peek().call.rule.priority < priority
         ]
         if not lower_queues:
--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -13,6 +13,7 @@
 from foxtailproxy.call import MAX_DEPTH, Call, new_id
 from foxtailproxy.claims import unchecked_key_failure
 from foxtailproxy.clock import AWAKE_MS, cancel_timer
+from foxtailproxy.customers.authentication import Authentication, Identified
 from foxtailproxy.dialect import CallerRequest, Dialect, MalformedCall
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
@@ -30,8 +31,10 @@
 if TYPE_CHECKING:
     from foxtailproxy.claims import Claim, Claims
     from foxtailproxy.clock import Clock
-    from foxtailproxy.config.rules import Match
+    from foxtailproxy.config.rules import Match, RuleBook
     from foxtailproxy.config_sync import ConfigSync
+    from foxtailproxy.customers.authentication import NoCustomer
+    from foxtailproxy.customers.freshness import ConfigFreshness
     from foxtailproxy.dispatch import Dispatcher
     from foxtailproxy.http.exchange import ServerExchange
     from foxtailproxy.metrics import Metrics
@@ -111,6 +114,7 @@
         metrics: Metrics,
         dialect: Dialect,
         log_calls: bool,
+        freshness: ConfigFreshness | None = None,
     ) -> None:
         self.clock = clock
         self.pending = 0
@@ -123,6 +127,7 @@
         self._metrics = metrics
         self._log_calls = log_calls
         self._dialect = dialect
+        self._authentication = Authentication(metrics.authentications, freshness)
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Handle one request from a caller."""
@@ -133,7 +138,7 @@
                 self._reject(exchange, call)
                 return
             pending = PendingCall(self, exchange, call)
-            pending.finish(await self._execute(call))
+            pending.finish(await self._execute(call, exchange.head.headers))
         finally:
             self.pending -= 1
 
@@ -206,8 +211,14 @@
         outcome_label = events.outcome_label(outcome)
         self._metrics.record(call.class_key, call.tenant, outcome_label, elapsed_ms)
         if self._log_calls:
+            rule_book = self._config_sync.rule_book
             events.call_ended(
-                call, outcome, elapsed_ms, call.last_choice, self._config_sync.version()[0]
+                call,
+                outcome,
+                elapsed_ms,
+                call.last_choice,
+                self._config_sync.version()[0],
+                call.tenant if rule_book is not None and rule_book.directory else "",
             )
 
     # Reading requests
@@ -215,10 +226,12 @@
     async def _receive(self, exchange: ServerExchange) -> Call | NotRun:
         headers = exchange.head.headers
         received_ms = self.clock.now_ms() - exchange.unread_ms
-        match = self._match_rule(exchange.head)
-        if isinstance(match, NotRun):
-            return match
         request = self._dialect.read_caller_request(headers)
+        attempt_id = request.attempt_id if isinstance(request, CallerRequest) else ""
+        rule_book = self._config_sync.rule_book
+        entry = self._decide(exchange.head, attempt_id)
+        if isinstance(entry, NotRun):
+            return entry
         if isinstance(request, MalformedCall):
             log.info("call_malformed", problem=request.problem)
             return NotRun(NotRunReason.BAD_REQUEST)
@@ -234,15 +247,22 @@
         if exchange.client_left:
             return NotRun(NotRunReason.CANCELLED)
         payload = exchange.body.buffered() if buffered else None
-        service, rule = match.service, match.rule
+        if self._needs_new_decision(rule_book):
+            entry = self._decide(exchange.head, attempt_id)
+            if isinstance(entry, NotRun):
+                return entry
+        service, rule = entry.match.service, entry.match.rule
+        tenant, forwarded_headers = self._identify(entry, headers, request.headers)
         timeout_ms = rule.deadline_ms if request.timeout_ms is None else request.timeout_ms
         if self._outlasts_shutdown(received_ms + min(rule.deadline_ms, timeout_ms)):
             return NotRun(NotRunReason.LEAVING, LEAVING_RETRY_MS)
         return Call(
-            head=messages.RequestHead(exchange.head.method, exchange.head.target, request.headers),
+            head=messages.RequestHead(
+                exchange.head.method, exchange.head.target, forwarded_headers
+            ),
             service=service,
             rule=rule,
-            tenant=messages.get_header_text(headers, service.tenant_header.encode()),
+            tenant=tenant,
             deadline_ms=received_ms + min(rule.deadline_ms, timeout_ms),
             caller_deadline_ms=received_ms + timeout_ms,
             received_ms=received_ms,
@@ -265,20 +285,63 @@
             return NotRun(NotRunReason.UNKNOWN_SERVICE)
         return match
 
+    def _decide(
+        self, head: messages.RequestHead, attempt_id: str
+    ) -> Identified | NoCustomer | NotRun:
+        """Return the rules and the customer of a request by the configuration in force."""
+        match = self._match_rule(head)
+        rule_book = self._config_sync.rule_book
+        if isinstance(match, NotRun) or rule_book is None:
+            return match if isinstance(match, NotRun) else NotRun(NotRunReason.NO_CONFIGURATION)
+        return self._authentication.decide(rule_book, match, head.headers, attempt_id)
+
+    def _needs_new_decision(self, earlier: RuleBook | None) -> bool:
+        """Return whether a decision by `earlier` may rest on a key that has been withdrawn."""
+        current = self._config_sync.rule_book
+        if current is earlier or current is None or earlier is None:
+            return False
+        return bool(current.directory or earlier.directory)
+
+    def _identify(
+        self,
+        entry: Identified | NoCustomer,
+        headers: messages.HeaderList,
+        forwarded_headers: messages.HeaderList,
+    ) -> tuple[str, messages.HeaderList]:
+        """Return the tenant of a request, and the headers to forward."""
+        service, rule_book = entry.match.service, self._config_sync.rule_book
+        if rule_book is None or not rule_book.directory:
+            tenant = messages.get_header_text(headers, service.tenant_header.encode())
+            return tenant, forwarded_headers
+        customer = entry.customer.name if isinstance(entry, Identified) else ""
+        return customer, self._dialect.identified_headers(forwarded_headers, service, customer)
+
     # Running calls
 
-    async def _execute(self, call: Call) -> Outcome:
+    async def _execute(self, call: Call, headers: messages.HeaderList) -> Outcome:
         if not call.key:
             return await self._dispatch(call)
         if call.remaining_ms(self.clock) <= 0:
             return Error(unchecked_key_failure(call.first_send, NotRun(NotRunReason.DEADLINE)))
         self._metrics.claims += 1
+        rule_book = self._config_sync.rule_book
         claimed = await self._claims.acquire(call)
         if claimed.is_error():
             return claimed.error
-        outcome = await self._dispatch(call)
+        rejection = None
+        if self._needs_new_decision(rule_book):
+            rejection = self._rejection_by_key(call, headers)
+        outcome = await self._dispatch(call) if rejection is None else Error(rejection)
         return await self._settle_claim(claimed.ok, outcome)
 
+    def _rejection_by_key(self, call: Call, headers: messages.HeaderList) -> NotRun | None:
+        """Return why the configuration in force does not let a claimed call run, if so."""
+        rule_book = self._config_sync.rule_book
+        if rule_book is None:
+            return NotRun(NotRunReason.NO_CONFIGURATION)
+        decision = self._authentication.decide(rule_book, call.match, headers, call.attempt_id)
+        return decision if isinstance(decision, NotRun) else None
+
     async def _settle_claim(self, claim: Claim, outcome: Outcome) -> Outcome:
         """Settle a claim with its call's outcome, which is kept for later sends of its key."""
         shared_outcomes: list[Outcome] = []
@@ -300,6 +363,8 @@
     has_key = messages.get_header(headers, KEY_HEADER) is not None
     if not has_key or rejection.reason in INVALID_REQUEST_REASONS:
         return rejection
-    return unchecked_key_failure(
-        messages.get_header(headers, FIRST_SEND_HEADER) is not None, rejection
-    )
+    is_first_send = messages.get_header(headers, FIRST_SEND_HEADER) is not None
+    if rejection.reason is NotRunReason.UNAUTHENTICATED and not is_first_send:
+        # An earlier send may have run before the customer's key was withdrawn.
+        return Unknown(UnknownReason.UNAUTHENTICATED)
+    return unchecked_key_failure(is_first_send, rejection)
--- a/foxtailproxy/commands/config.py
+++ b/foxtailproxy/commands/config.py
@@ -14,6 +14,7 @@
 from foxtailproxy.config.rules import format_rules, parse_rules
 from foxtailproxy.config.settings import read_text
 from foxtailproxy.config_sync import CONFIG_PATH
+from foxtailproxy.customers.redaction import redact_keys
 from foxtailproxy.exceptions import ConflictError, ResponseError, UnreachableError
 from foxtailproxy.models.messages import ConfigObject
 from foxtailproxy.models.settings import PlatformSection
@@ -152,7 +153,7 @@
 def _difference(current: CurrentConfig, text: str) -> str:
     old = "" if current.config is None else current.config.text
     generation = 0 if current.config is None else current.config.generation
-    return difference(old, text, f"generation {generation}", "new")
+    return difference(redact_keys(old), redact_keys(text), f"generation {generation}", "new")
 
 
 def _decode(stored: StoredObject) -> ConfigObject:
--- a/foxtailproxy/config/ini.py
+++ b/foxtailproxy/config/ini.py
@@ -48,17 +48,31 @@
         return f"[{self.section}] {self.key} = {self.value!r}: {self.reason}{unit}"
 
 
-def read_sections(text: str) -> Result[dict[str, dict[str, str]], Problem]:
-    """Return the sections of an INI text with their keys and raw values."""
+def read_sections(
+    text: str, shows_lines: bool = True
+) -> Result[dict[str, dict[str, str]], Problem]:
+    """Return the sections of an INI text with their keys and raw values.
+
+    `shows_lines` tells whether a problem may quote lines of the text.
+    """
     parser = configparser.ConfigParser(interpolation=None, default_section="\0", strict=True)
     try:
         parser.read_string(text)
     except configparser.Error as error:
         reason = " ".join(str(error).split())
+        if isinstance(error, configparser.ParsingError) and not shows_lines:
+            reason = f"line {_first_bad_line(error)} is malformed"
         return Error(Problem("", "", "", f"not an INI file: {reason}"))
     return Ok({name: dict(parser.items(name)) for name in parser.sections()})
 
 
+def _first_bad_line(error: configparser.ParsingError) -> int:
+    """Return the number of the first line that does not parse."""
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        return error.lineno
+    return int(error.errors[0][0])
+
+
 def read_model(
     model: type[SectionModel], section: str, raw_values: dict[str, str], name_values: dict[str, Any]
 ) -> Result[SectionModel, list[Problem]]:
--- a/foxtailproxy/config/rules.py
+++ b/foxtailproxy/config/rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import lru_cache
 from typing import Any
 
@@ -11,6 +11,8 @@
 from expression import Result
 
 from foxtailproxy.config.ini import Problem, format_value, read_model, read_sections
+from foxtailproxy.customers.effective_rules import EffectiveRules
+from foxtailproxy.customers.identity import CustomerDirectory
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.rules import (
     ClassRule,
@@ -27,13 +29,18 @@
 ROUTE = "route"
 CUSTOMER = "customer"
 
+CUSTOMER_TERMS = frozenset(("priority", "rate_per_s", "burst", "regions"))
+"""Settings of a customer whose values may be shown in a problem."""
+
+HIDDEN_VALUE = "(hidden)"
+
 SECTION_CACHE_SIZE = 2048
 """Maximum number of parsed sections in the cache; a configuration of 180 services has fewer."""
 
 
 def parse_rules(text: str, source: str) -> Rules:
     """Parse a configuration; `source` names the text in errors. Raises `SettingsError`."""
-    sections = read_sections(text)
+    sections = read_sections(text, shows_lines=False)
     if sections.is_error():
         raise SettingsError(source, [sections.error])
     reader = _RulesReader()
@@ -98,7 +105,7 @@
         key: Any = (model, section, tuple(raw_values.items()), tuple(name_values.items()))
         result = _read_section(*key)
         if result.is_error():
-            self.problems.extend(result.error)
+            self.problems.extend(_without_key(problem) for problem in result.error)
         elif isinstance(result.ok, FleetRule):
             self.fleet = result.ok
         elif isinstance(result.ok, ServiceRule):
@@ -172,6 +179,14 @@
             self.problems.append(Problem(section, "hold_ms", str(rule.hold_ms), reason))
 
 
+def _without_key(problem: Problem) -> Problem:
+    """Return a problem without its value if that may be a customer's key."""
+    is_customer = problem.section.partition(" ")[0] == CUSTOMER
+    if problem.key in CUSTOMER_TERMS or not (is_customer or "key" in problem.key):
+        return problem
+    return replace(problem, value=HIDDEN_VALUE if problem.value else "")
+
+
 def route_weights(route: RouteRule) -> dict[str, int]:
     """Return the weight of each service of a route, by service name."""
     weights = {}
@@ -317,6 +332,9 @@
     def __init__(self, rules: Rules) -> None:
         self.fleet = rules.fleet
         self.customers = rules.customers
+        self.directory = CustomerDirectory(rules.customers)
+        self.effective_rules = EffectiveRules()
+        self._default_class_by_service: dict[str, ClassRule] = {}
         self.service_by_name = {service.name: service for service in rules.services}
         self._service_by_host = {
             host.lower(): service for service in rules.services for host in service.hosts
@@ -361,4 +379,7 @@
         for rule in self._classes_by_service.get(service.name, ()):
             if path.startswith(rule.path_prefix) and (not rule.methods or method in rule.methods):
                 return rule
-        return ClassRule(service.name, "default")
+        # One object for all requests, so that the rules made from it are cached.
+        return self._default_class_by_service.setdefault(
+            service.name, ClassRule(service.name, "default")
+        )
--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -112,8 +112,9 @@
 class ConfigSync:
     """Synchronizer that adopts newer configurations and never returns to an older one.
 
-    `store_lost` tells whether this node watches the store but does not reach it; `send_state` tells
-    it to some peers.
+    `on_store_answer` is called with the time of a question to the store once its answer has been
+    applied. `store_lost` tells whether this node watches the store but does not reach it;
+    `send_state` tells it to some peers.
     """
 
     def __init__(
@@ -130,6 +131,7 @@
         self.store_lost = False
         self.current: ConfigObject | None = None
         self.rule_book: RuleBook | None = None
+        self.on_store_answer: Callable[[float], None] | None = None
         self._clock = clock
         self._store = store
         self._source = config_source or IniConfigSource()
@@ -208,12 +210,18 @@
 
         A stale read could bring back what was withdrawn before this process started.
         """
+        asked_ms = self._clock.now_ms()
         stored = await self._store.read(self._source.path)
         if stored.is_error():
             return isinstance(stored.error, Missing)
         self._adopt_stored(stored.ok.value)
+        self._report_store_answer(asked_ms)
         return True
 
+    def _report_store_answer(self, asked_ms: float) -> None:
+        if self.on_store_answer is not None:
+            self.on_store_answer(asked_ms)
+
     def version_received(self, generation: int, change: str, member: MemberRecord) -> None:
         """Fetch the configuration that a peer announces if it is newer."""
         version = (generation, change)
@@ -322,9 +330,11 @@
 
     async def _receive_changes(self) -> bool:
         """Adopt the next change; return whether the store answered."""
+        asked_ms = self._clock.now_ms()
         changes = await self._next_changes()
         if changes.is_ok():
             self._apply_changes(changes.ok)
+            self._report_store_answer(asked_ms)
         return changes.is_ok()
 
     async def _next_changes(self) -> Result[Changes, StoreFailure]:
--- a/foxtailproxy/dialect.py
+++ b/foxtailproxy/dialect.py
@@ -12,11 +12,13 @@
 import structlog
 
 from foxtailproxy import wire
+from foxtailproxy.customers.identity import identified_headers
 from foxtailproxy.http import messages
 
 if TYPE_CHECKING:
     from foxtailproxy.call import Call
     from foxtailproxy.http.body import BodyStream
+    from foxtailproxy.models.rules import ServiceRule
     from foxtailproxy.outcome import NotRun, Unknown
 
 
@@ -78,6 +80,14 @@
     def read_caller_request(self, headers: messages.HeaderList) -> CallerRequest | MalformedCall:
         """Read the parameters that a caller sends with its request."""
 
+    def identified_headers(
+        self, headers: messages.HeaderList, service: ServiceRule, customer: str
+    ) -> messages.HeaderList:
+        """Return a caller's headers without its key, with the customer's name unless it is empty.
+
+        Only used if the configuration has customers.
+        """
+
     def upstream_headers(self, call: Call, remaining_ms: int, instance: str) -> messages.HeaderList:
         """Return the headers sent with a call to the upstream process `instance`."""
 
@@ -148,6 +158,12 @@
             first_send=bool(messages.get_header(headers, wire.FIRST_SEND_HEADER)),
         )
 
+    def identified_headers(
+        self, headers: messages.HeaderList, service: ServiceRule, customer: str
+    ) -> messages.HeaderList:
+        """Return a caller's headers without its key, with the customer's name if it has one."""
+        return identified_headers(headers, service.tenant_header.lower().encode(), customer)
+
     def upstream_headers(self, call: Call, remaining_ms: int, instance: str) -> messages.HeaderList:
         """Return the caller's headers with the attempt id, the deadline and the depth."""
         headers = messages.end_to_end_headers(call.head.headers)
--- a/foxtailproxy/events.py
+++ b/foxtailproxy/events.py
@@ -35,9 +35,17 @@
 
 
 def call_ended(
-    call: Call, outcome: Outcome, elapsed_ms: float, choice: Choice | None, generation: int
+    call: Call,
+    outcome: Outcome,
+    elapsed_ms: float,
+    choice: Choice | None,
+    generation: int,
+    customer: str = "",
 ) -> None:
-    """Log the final outcome of a call; `choice` is the last choice of a target, if any."""
+    """Log the final outcome of a call; `choice` is the last choice of a target, if any.
+
+    `customer` is the name of the customer that the caller identified itself as, if any.
+    """
     log.info(
         "call",
         attempt=call.attempt_id,
@@ -50,6 +58,7 @@
         sends=call.send_number + 1 if choice is not None else 0,
         answer_bytes=outcome.ok.body.size if outcome.is_ok() else -1,
         answer_ended=outcome.is_ok() and outcome.ok.body.ended,
+        **({"customer": customer} if customer else {}),
         **_choice_fields(choice),
     )
 
--- a/foxtailproxy/metrics.py
+++ b/foxtailproxy/metrics.py
@@ -45,6 +45,7 @@
         self.calls_by_outcome: Counter[tuple[str, str]] = Counter()
         self.retries = 0
         self.claims = 0
+        self.authentications: Counter[str] = Counter()
 
     def record(self, class_key: str, tenant: str, outcome: str, elapsed_ms: float) -> None:
         """Record the outcome and latency of a call."""
@@ -112,6 +113,9 @@
         meter = provider.get_meter("foxtailproxy")
         meter.create_observable_gauge("foxtailproxy_latency", [self._observe_latencies], unit="ms")
         meter.create_observable_counter("foxtailproxy_calls", [self._observe_calls])
+        meter.create_observable_counter(
+            "foxtailproxy_authentications", [self._observe_authentications]
+        )
         meter.create_observable_gauge("foxtailproxy_state", [self._observe_state])
 
     def render_text(self) -> bytes:
@@ -131,6 +135,12 @@
         for (class_key, outcome), count in self._metrics.calls_by_outcome.items():
             yield Observation(count, {"class": class_key, "outcome": outcome})
 
+    def _observe_authentications(self, options: CallbackOptions) -> Iterable[Observation]:
+        from opentelemetry.metrics import Observation
+
+        for result, count in self._metrics.authentications.items():
+            yield Observation(count, {"result": result})
+
     def _observe_state(self, options: CallbackOptions) -> Iterable[Observation]:
         from opentelemetry.metrics import Observation
 
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -20,6 +20,7 @@
 from foxtailproxy.clock import Clock
 from foxtailproxy.config.settings import split_address
 from foxtailproxy.config_sync import ConfigSync, IniConfigSource
+from foxtailproxy.customers.freshness import ConfigFreshness
 from foxtailproxy.dialect import FoxtailDialect
 from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.first_announcement import FirstAnnouncement
@@ -37,7 +38,7 @@
 from foxtailproxy.placement import Placement
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.platform.dialect import PlatformDialect
-from foxtailproxy.platform.store_client import StoreClient
+from foxtailproxy.platform.store_client import WATCH_WAIT_MS, StoreClient
 from foxtailproxy.quarantine import Quarantine
 from foxtailproxy.registration import Registration
 from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
@@ -53,7 +54,7 @@
     from foxtailproxy.call import Call
     from foxtailproxy.config.rules import RuleBook
     from foxtailproxy.models.messages import Announcement
-    from foxtailproxy.models.settings import NodeSettings
+    from foxtailproxy.models.settings import CustomersSection, NodeSettings
 
 log = structlog.get_logger()
 
@@ -174,6 +175,11 @@
             clock, self.target, self.table.local_record.region, rng, socket.send_datagram
         )
         socket.on_load_datagram = self.loads.handle_datagram
+        self.freshness = ConfigFreshness(
+            clock, self.table, rng, socket.send_datagram, self.config_version
+        )
+        self.config_sync.on_store_answer = self.freshness.store_answered
+        socket.on_freshness_datagram = self.freshness.handle_datagram
         self.claims = Claims(clock, limits, self.store, self.peers, self.table.local_record)
         dispatcher = Dispatcher(
             clock,
@@ -196,6 +202,7 @@
             self.metrics,
             dialect,
             self.settings.node.log_calls,
+            self.freshness,
         )
         self.peer_server = PeerServer(
             clock,
@@ -246,6 +253,7 @@
         self._listen_for_callers(caller_socket)
         self._listen_for_platform()
         self.gossip.start()
+        self._configure_freshness(self.settings.customers)
         self._loops.append(self.clock.repeat(1000, self.claims.runs.sweep))
         self.lifecycle.started()
         discovery = ensureDeferred(self._discover_upstream())  # type: ignore[arg-type]
@@ -395,11 +403,17 @@
         )
         self.target.configure(settings.upstream)
         self.router.links = settings.links
+        self._configure_freshness(settings.customers)
         if self.settings.platform.adapter:
             self.retry_budgets.set_limits(self._retry_limits())
         if self.config_sync.rule_book is not None:
             self._config_adopted(self.config_sync.rule_book)
 
+    def _configure_freshness(self, section: CustomersSection) -> None:
+        """Apply the settings on rejections by nodes whose configuration may be outdated."""
+        self.freshness.configure(section)
+        self.store.watch_wait_ms = int(min(WATCH_WAIT_MS, self.freshness.watch_wait_ms))
+
     def _local_service(self) -> str:
         return self.settings.upstream.service
 
@@ -466,6 +480,7 @@
         self.config_sync.close()
         self.registration.close()
         self.first_announcement.close()
+        self.freshness.close()
         self.gossip.close()
         self.peer_server.close()
         await DeferredList([maybeDeferred(port.stopListening) for port in self._ports])
--- a/foxtailproxy/outcome.py
+++ b/foxtailproxy/outcome.py
@@ -46,6 +46,7 @@
     NO_ALLOWED_TARGET = "no-allowed-target"
     EVACUATED = "evacuated"
     COLD = "cold"
+    CONFIGURATION_STALE = "configuration-stale"
 
 
 class UnknownReason(StrEnum):
@@ -58,6 +59,7 @@
     CLAIMED_ELSEWHERE = "claimed-elsewhere"
     ANSWER_NOT_KEPT = "answer-not-kept"
     KEY_NOT_CHECKED = "key-not-checked"
+    UNAUTHENTICATED = "unauthenticated"
     CANCELLED = "cancelled"
 
 
--- a/foxtailproxy/platform/configuration.py
+++ b/foxtailproxy/platform/configuration.py
@@ -8,6 +8,7 @@
 
 from foxtailproxy.config.ini import Problem
 from foxtailproxy.config.rules import route_weights
+from foxtailproxy.customers.priority import weight_of
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.messages import ConfigObject
 from foxtailproxy.models.rules import CustomerRule, FleetRule, RouteRule, Rules, ServiceRule
@@ -29,10 +30,6 @@
 CROSS_REGION_MEASURE_BYTES_PER_S = 1500
 """Part of that bandwidth that may cross regions, in bytes per second."""
 
-HIGHEST_PRIORITY_WEIGHT = 12
-"""Scheduling weight of the highest priority at a busy target; it is divided by 2 for the second
-priority, by 3 for the third, and so on."""
-
 LONG_CALL_SLOT_PERCENT = 75
 """Share of a target's slots, as a percentage, that a class may occupy while its calls run longer
 than every objective."""
@@ -221,7 +218,7 @@
         idempotent=rule.route_type == IDEMPOTENT_ROUTE_TYPE,
         attempts=max(1, action.max_attempts),
         priority=_to_priority(rule.priority),
-        weight=max(1, HIGHEST_PRIORITY_WEIGHT // (rule.priority + 1)),
+        weight=weight_of(_to_priority(rule.priority)),
         deadline_ms=int(action.timeout_ms),
         hold_ms=int(action.timeout_ms),
         objective_ms=int(rule.slo_latency_ms),
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -9,17 +9,23 @@
 
 import msgspec
 
+from foxtailproxy.customers.identity import identified_headers
 from foxtailproxy.dialect import CallerRequest, MalformedCall, UpstreamLoad, UpstreamMetadata
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from foxtailproxy.platform import headers as header_names
-from foxtailproxy.wire import strip_node_headers
+from foxtailproxy.wire import (
+    AUTHENTICATE_CHALLENGE,
+    UNAUTHENTICATED_STATUS,
+    strip_node_headers,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from foxtailproxy.call import Call
+    from foxtailproxy.models.rules import ServiceRule
 
 MISDIRECTED_STATUS = 421
 """Status of a target process other than the expected one; it has not run the request."""
@@ -30,13 +36,17 @@
     NotRunReason.UNKNOWN_SERVICE: 404,
     NotRunReason.BAD_REQUEST: 400,
     NotRunReason.REQUEST_CUT: 400,
-    NotRunReason.UNAUTHENTICATED: 401,
+    NotRunReason.UNAUTHENTICATED: UNAUTHENTICATED_STATUS,
     NotRunReason.ALLOWANCE_EXCEEDED: 429,
 }
 NOT_RUN_STATUS = 503
 RETRY_LATER_STATUSES = frozenset((429, NOT_RUN_STATUS))
 TIMEOUT_STATUS = 504
 UNKNOWN_OUTCOME_STATUS = 502
+STATUS_BY_UNKNOWN_REASON = {
+    UnknownReason.DEADLINE: TIMEOUT_STATUS,
+    UnknownReason.UNAUTHENTICATED: UNAUTHENTICATED_STATUS,
+}
 
 USUAL_RUN_TIME_PERCENT = 100.0
 
@@ -75,6 +85,12 @@
             timeout_ms=int(timeout_text) if timeout_text.isdecimal() else None,
         )
 
+    def identified_headers(
+        self, headers: messages.HeaderList, service: ServiceRule, customer: str
+    ) -> messages.HeaderList:
+        """Return a caller's headers without its key, with the customer's name if it has one."""
+        return identified_headers(headers, header_names.TENANT, customer)
+
     def upstream_headers(self, call: Call, remaining_ms: int, instance: str) -> messages.HeaderList:
         """Return the caller's headers, the time left and the process that is to run the request."""
         headers = messages.end_to_end_headers(call.head.headers)
@@ -147,8 +163,9 @@
                     (header_names.RETRY_AFTER, b"%.3f" % (retry_wait_ms / MS_PER_SECOND))
                 )
         else:
-            is_timeout = failure.reason is UnknownReason.DEADLINE
-            status = TIMEOUT_STATUS if is_timeout else UNKNOWN_OUTCOME_STATUS
+            status = STATUS_BY_UNKNOWN_REASON.get(failure.reason, UNKNOWN_OUTCOME_STATUS)
+        if status == UNAUTHENTICATED_STATUS:
+            headers.append(AUTHENTICATE_CHALLENGE)
         body = msgspec.json.encode(ErrorBody(failure.reason))
         return messages.ResponseHead(
             status, messages.reason_phrase(status), headers
--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -150,6 +150,7 @@
 
     def __init__(self, reactor: Any, settings: PlatformSection) -> None:
         self.counters = StoreCounters()
+        self.watch_wait_ms = WATCH_WAIT_MS
         self._is_unavailable = False
         self._url = settings.url
         self._timeout_s = settings.timeout_ms / MS_PER_SECOND
@@ -211,8 +212,8 @@
     async def watch(self, kind: str, revision: int) -> Result[Changes, StoreFailure]:
         """Wait for changes in a kind after `revision`; the result is empty if none came in time."""
         self.counters.watches += 1
-        path = _kind_path(kind, {"watch": revision, "wait_ms": WATCH_WAIT_MS})
-        result = await self._send("GET", path, None, WATCH_WAIT_MS / MS_PER_SECOND)
+        path = _kind_path(kind, {"watch": revision, "wait_ms": self.watch_wait_ms})
+        result = await self._send("GET", path, None, self.watch_wait_ms / MS_PER_SECOND)
         response = result.bind(lambda body: _decode(body, WatchResponse))
         return response.map(lambda decoded: _to_changes(kind, decoded))
 
--- a/foxtailproxy/wire.py
+++ b/foxtailproxy/wire.py
@@ -39,6 +39,9 @@
 KEY_HEADER = b"idempotency-key"
 FIRST_SEND_HEADER = b"foxtail-first-send"
 
+UNAUTHENTICATED_STATUS = 401
+AUTHENTICATE_CHALLENGE = (b"www-authenticate", b"Bearer")
+
 STATUS_BY_REASON = {
     NotRunReason.UNKNOWN_SERVICE: 404,
     NotRunReason.KEY_REUSED: 422,
@@ -46,7 +49,7 @@
     NotRunReason.TOO_DEEP: 508,
     NotRunReason.BAD_REQUEST: 400,
     NotRunReason.REQUEST_CUT: 400,
-    NotRunReason.UNAUTHENTICATED: 401,
+    NotRunReason.UNAUTHENTICATED: UNAUTHENTICATED_STATUS,
     NotRunReason.ALLOWANCE_EXCEEDED: 429,
 }
 """Status codes of the reasons other than a lack of room or of targets."""
@@ -200,6 +203,8 @@
 def _(failure: Unknown) -> int:
     if failure.reason is UnknownReason.KEY_NOT_CHECKED:
         return UNAVAILABLE_STATUS
+    if failure.reason is UnknownReason.UNAUTHENTICATED:
+        return UNAUTHENTICATED_STATUS
     return UNKNOWN_STATUS
 
 
@@ -213,6 +218,8 @@
         (OUTCOME_HEADER, format_outcome(failure)),
         (ATTEMPT_HEADER, attempt_id.encode()),
     ]
+    if status == UNAUTHENTICATED_STATUS:
+        headers.append(AUTHENTICATE_CHALLENGE)
     if status in RETRY_LATER_STATUSES:
         retry_after_s = max(1, -(-failure.retry_after_ms // MS_PER_SECOND))
         headers.append((b"retry-after", b"%d" % retry_after_s))
