--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -60,6 +60,14 @@
 of many routes is a megabyte: if all nodes of a region read it from the store at once, that would
 block the link between regions for seconds."""
 
+STORED_CONFIG_WAIT_MS = 100
+"""Time for which a starting node holds a configuration of the store back until a peer has told its
+version: a store that came back from an older copy would return it to an older one."""
+
+ANNOUNCED_CONFIG_WAIT_MS = 10_000
+"""Time after which a starting node takes an older configuration of the store although a peer has
+announced a newer one: the peers that had it are gone."""
+
 MIN_WATCH_MS = 50
 """Duration below which a watch is followed by a delay, so that it cannot become a busy loop."""
 
@@ -148,6 +156,8 @@
         self._pending_fetches: set[tuple[int, str]] = set()
         self._announced_version: tuple[int, str] = (0, "")
         self._announced_ms = 0.0
+        self._started_ms = 0.0
+        self._held: ConfigObject | None = None
         self._closed = False
 
     def start(self) -> None:
@@ -155,6 +165,9 @@
 
         Other nodes get the configuration from peers, and read the store only if none sends it.
         """
+        self._started_ms = self._clock.now_ms()
+        self._clock.call_later(STORED_CONFIG_WAIT_MS, self._adopt_held)
+        self._clock.call_later(ANNOUNCED_CONFIG_WAIT_MS, self._adopt_held)
         self._watch_if_due()
         self._watcher_check = self._clock.repeat(WATCHER_CHECK_INTERVAL_MS, self._watch_if_due)
         ensureDeferred(self._read_unless_received())  # type: ignore[arg-type]
@@ -232,6 +245,7 @@
         if version > self.version() and version not in self._pending_fetches:
             self._pending_fetches.add(version)
             ensureDeferred(self._fetch(version, member))  # type: ignore[arg-type]
+        self._adopt_held()
 
     def _ms_since_announced(self, version: tuple[int, str]) -> int:
         """Return the time since a peer first announced a version; 0 if none has."""
@@ -365,4 +379,34 @@
         except SettingsError as error:
             log.error("config_malformed", problem=str(error.problems[0]))
             return
+        if self.rule_book is None and self._must_hold(config):
+            self._held = config
+            log.info(
+                "config_held",
+                generation=config.generation,
+                announced=self._announced_version[0],
+                started_ms=round(self._clock.now_ms() - self._started_ms),
+            )
+            return
         self.adopt_if_newer(config, "platform")
+
+    def _must_hold(self, config: ConfigObject) -> bool:
+        """Return whether a starting node has to learn from its peers whether there is a newer one.
+
+        An earlier process of this node may have had that one in force.
+        """
+        waited_ms = self._clock.now_ms() - self._started_ms
+        if version_of(config) < self._announced_version:
+            return waited_ms < ANNOUNCED_CONFIG_WAIT_MS
+        is_version_known = self._announced_version > (0, "") or not self._table.live_peers()
+        return not is_version_known and waited_ms < STORED_CONFIG_WAIT_MS
+
+    def _adopt_held(self) -> None:
+        """Adopt the configuration that was held back, if it needs not wait any longer."""
+        if self._held is None or self._closed:
+            return
+        if self.rule_book is not None:
+            self._held = None
+        elif not self._must_hold(self._held):
+            config, self._held = self._held, None
+            self.adopt_if_newer(config, "platform")
--- a/foxtailproxy/tests/admission.feature
+++ b/foxtailproxy/tests/admission.feature
@@ -22,6 +22,22 @@
       | the least important is shed              | 1     | a:short b:low c:low d:low e:low f:high   | 0   | a       | b c d f | e=queue-full         |
       | a suspect runs without another suspect   | 3     | a:suspect b:suspect c:short              | 0   | a c     | b       | -                    |
 
+  # Guards against one queue for all customers of a class, with the weight of the latest call.
+  Scenario Outline: Calls of one class with two priorities: <case>
+    Given a target with 1 slots
+    When these calls are submitted: <calls>
+    And the call a ends
+    And the call <second> ends
+    Then these run: <running>
+    And these wait: <waiting>
+    And these were rejected: <refused>
+
+    Examples:
+      | case                                  | calls                              | second | running | waiting | refused      |
+      | a later call does not change a weight | a:gold b:tin c:gold d:gold e:tin   | b      | a b c   | d e     | -            |
+      | the more important ones go first      | a:gold b:gold c:gold d:tin e:tin   | d      | a d b   | c e     | -            |
+      | each priority has its queue           | a:tin b:tin c:tin d:tin e:tin f:gold | f    | a f b   | c d     | e=queue-full |
+
   Scenario: A class whose calls have become long is limited to the share for long calls
     Given a target with 4 slots
     When these calls are submitted: a:drags b:drags
--- a/foxtailproxy/tests/config_fakes.py
+++ b/foxtailproxy/tests/config_fakes.py
@@ -46,10 +46,14 @@
     value: str = ""
     watches: list[Deferred[None]] = field(default_factory=list)
 
-    def put(self, generation: int) -> None:
-        """Write a configuration, which ends all watches."""
-        self.revision += 1
-        self.value = config_text(generation)
+    def put(self, generation: int, **changes: Any) -> None:
+        """Write a configuration, with `changes` of its fields, which ends all watches."""
+        self.restore(self.revision + 1, config_text(generation, **changes))
+
+    def restore(self, revision: int, value: str) -> None:
+        """Set the state of the store, which ends all watches."""
+        self.revision = revision
+        self.value = value
         watches, self.watches = self.watches, []
         for watch in watches:
             watch.callback(None)
@@ -64,6 +68,7 @@
     def __init__(self, store: ConfigStore) -> None:
         self.fault = ""
         self.prices: list[tuple[float, float]] = []
+        self.watch_wait_ms = float(WATCH_WAIT_MS)
         self._store = store
         self._clock = store.clock
         self._pending: Deferred[None] | None = None
@@ -122,7 +127,7 @@
         changed: Deferred[None] = Deferred()
         self._pending = changed
         self._store.watches.append(changed)
-        timer = self._clock.call_later(WATCH_WAIT_MS, self._end_watch, changed)
+        timer = self._clock.call_later(self.watch_wait_ms, self._end_watch, changed)
         await changed
         self._pending = None
         cancel_timer(timer)
--- a/foxtailproxy/tests/steps/admission.py
+++ b/foxtailproxy/tests/steps/admission.py
@@ -18,6 +18,8 @@
     "suspect": {"hold_ms": 100},
     "heavy": {"weight": 3, "hold_ms": 4000},
     "light": {"weight": 1, "hold_ms": 4000},
+    "gold": {"name": "shared", "weight": 12, "priority": 9, "queue": 3, "hold_ms": 4000},
+    "tin": {"name": "shared", "weight": 1, "priority": 0, "queue": 3, "hold_ms": 4000},
     "aimed": {"hold_ms": 1000, "objective_ms": 100},
 }
 
