Place calls only at targets in their allowed regions

Cause: the regions of a rule reached the nodes, but no decision used them. Change: the index groups targets by set of allowed regions, once after each change of the members, so that samples, trials, hedges, retries, suspect placement, overflow and load queries see none outside them; the local target is checked in the same way. A call without a target or without room in its regions is rejected with no-allowed-target, logged with its id, and counted. The index can also leave out data centres.

--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -15,6 +15,7 @@
 
 from foxtailproxy import events
 from foxtailproxy.clock import AWAKE_MS, cancel_timer
+from foxtailproxy.constraints.regions import outcome_in_regions
 from foxtailproxy.ejection import UNREACHABLE_WEIGHT
 from foxtailproxy.http.body import DiscardSink
 from foxtailproxy.http.errors import HttpError
@@ -198,7 +199,8 @@
         progress = CallProgress()
         self._progress_by_call[call] = progress
         try:
-            return progress.final_outcome(await self._try_targets(call, rule_book, progress))
+            outcome = await self._try_targets(call, rule_book, progress)
+            return progress.final_outcome(outcome_in_regions(call, outcome, self._metrics))
         finally:
             del self._progress_by_call[call]
 
--- a/foxtailproxy/metrics.py
+++ b/foxtailproxy/metrics.py
@@ -45,6 +45,7 @@
         self.calls_by_outcome: Counter[tuple[str, str]] = Counter()
         self.retries = 0
         self.claims = 0
+        self.no_allowed_target = 0
 
     def record(self, class_key: str, tenant: str, outcome: str, elapsed_ms: float) -> None:
         """Record the outcome and latency of a call."""
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -250,7 +250,11 @@
         )
 
     def _is_local_available(self, match: Match, tried_ids: set[str]) -> bool:
-        return LOCAL_ID not in tried_ids and self._target.serves(match.service.name)
+        return (
+            LOCAL_ID not in tried_ids
+            and self._target.serves(match.service.name)
+            and self.index.allows_local(match.rule.regions)
+        )
 
     def compares_data_centers(self, sample: Sample, cost: CallCost) -> bool:
         """Return whether a target in another data centre may be better than the best one here."""
@@ -415,7 +419,7 @@
         time, so that such a request cannot crash several upstreams at once.
         """
         crashed_node_ids = {name.partition(".")[0] for name in call.crashed_upstreams}
-        alive = self.index.alive_targets(call.service.name)
+        alive = self.index.alive_targets(call.service.name, call.rule.regions)
         views = [*alive.in_region, *alive.other_regions]
         healthy = [view for view in views if not view.health.ejected] or views
         choice_by_id: dict[str, Choice] = {
@@ -423,7 +427,11 @@
             for view in healthy
             if view.member.node_id not in crashed_node_ids
         }
-        if self._target.serves(call.service.name) and self.node_id not in crashed_node_ids:
+        if (
+            self._target.serves(call.service.name)
+            and self.index.allows_local(call.rule.regions)
+            and self.node_id not in crashed_node_ids
+        ):
             choice_by_id[self.node_id] = LocalChoice()
         if not choice_by_id:
             return None
@@ -441,7 +449,8 @@
 
     def sample(self, match: Match, tried_ids: set[str]) -> Sample:
         """Draw the targets of peers that are compared for a call."""
-        return self.index.draw(match.service.name, tried_ids, match.rule.idempotent)
+        rule = match.rule
+        return self.index.draw(match.service.name, rule.regions, tried_ids, rule.idempotent)
 
     def _best(self, views: list[TargetView], cost: CallCost) -> TargetView | None:
         """Return the best of some targets at about the same distance."""
--- a/foxtailproxy/target_index.py
+++ b/foxtailproxy/target_index.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from foxtailproxy.constraints.regions import is_allowed
 from foxtailproxy.ejection import MAX_EJECTED_SHARE
 from foxtailproxy.models.messages import MemberState
 from foxtailproxy.target_view import ServiceExpectation, TargetView
@@ -49,12 +50,13 @@
 class ServiceTargets:
     """Peers' targets of one service: the ids of all, and those alive by distance.
 
-    `alive` is `None` after a change, until it is needed again.
+    `alive_by_regions` holds the targets that calls with each set of allowed regions may use; it is
+    empty after a change, and filled again as needed.
     """
 
     ids: set[str] = field(default_factory=set)
     expectation: ServiceExpectation = field(default_factory=ServiceExpectation)
-    alive: Sample | None = None
+    alive_by_regions: dict[tuple[str, ...], Sample] = field(default_factory=dict)
 
 
 class TargetIndex:
@@ -68,6 +70,17 @@
         self._rng = rng
         self._targets_by_service: dict[str, ServiceTargets] = {}
         self._ejected_ids: set[str] = set()
+        self._evacuated: frozenset[str] = frozenset()
+
+    def set_evacuated(self, data_centers: frozenset[str]) -> None:
+        """Use no targets in these data centres, and again those in all others."""
+        self._evacuated = data_centers
+        for targets in self._targets_by_service.values():
+            targets.alive_by_regions.clear()
+
+    def allows_local(self, regions: list[str]) -> bool:
+        """Return whether calls with these allowed regions may run at the local target."""
+        return self._data_center not in self._evacuated and is_allowed(self._region, regions)
 
     def update_member(self, member: MemberRecord) -> None:
         """Add, update or remove the target of a peer after a change of its member record."""
@@ -75,7 +88,7 @@
         if view is not None:
             targets = self._targets_of(view.member.service)
             targets.ids.discard(member.node_id)
-            targets.alive = None
+            targets.alive_by_regions.clear()
         if member.state is MemberState.dead:
             self.view_by_id.pop(member.node_id, None)
             return
@@ -86,7 +99,7 @@
         if member.service and member.slots:
             targets = self._targets_of(member.service)
             targets.ids.add(member.node_id)
-            targets.alive = None
+            targets.alive_by_regions.clear()
             view.expectation = targets.expectation
 
     def expectation_of(self, service: str) -> ServiceExpectation:
@@ -107,28 +120,44 @@
         health.record_failure(may_eject, weight)
         self._ejected_ids.update(view.member.node_id for view in views if view.health is health)
 
-    def alive_targets(self, service: str) -> Sample:
-        """Return all targets of a service: those alive, or else the suspect ones."""
+    def alive_targets(self, service: str, regions: list[str]) -> Sample:
+        """Return the targets of a service that calls with these allowed regions may use.
+
+        They are those alive, or else the suspect ones.
+        """
         targets = self._targets_of(service)
-        if targets.alive is None:
-            views = [self.view_by_id[node_id] for node_id in sorted(targets.ids)]
-            alive = [view for view in views if view.member.state is MemberState.alive]
-            if not alive:
-                alive = [view for view in views if view.member.state is MemberState.suspect]
-            targets.alive = Sample()
-            for view in alive:
-                self._group_of(view, targets.alive).append(view)
-        return targets.alive
-
-    def draw(self, service: str, excluded_ids: set[str], may_send_trial: bool) -> Sample:
-        """Draw the targets that are compared for a call.
+        key = tuple(regions)
+        sample = targets.alive_by_regions.get(key)
+        if sample is None:
+            sample = targets.alive_by_regions[key] = self._group_alive(targets, regions)
+        return sample
+
+    def _group_alive(self, targets: ServiceTargets, regions: list[str]) -> Sample:
+        views = [self.view_by_id[node_id] for node_id in sorted(targets.ids)]
+        views = [view for view in views if self._is_usable(view, regions)]
+        alive = [view for view in views if view.member.state is MemberState.alive]
+        if not alive:
+            alive = [view for view in views if view.member.state is MemberState.suspect]
+        sample = Sample()
+        for view in alive:
+            self._group_of(view, sample).append(view)
+        return sample
+
+    def _is_usable(self, view: TargetView, regions: list[str]) -> bool:
+        member = view.member
+        return member.data_center not in self._evacuated and is_allowed(member.region, regions)
+
+    def draw(
+        self, service: str, regions: list[str], excluded_ids: set[str], may_send_trial: bool
+    ) -> Sample:
+        """Draw the targets that are compared for a call, which may run in `regions`.
 
         If `may_send_trial`, an ejected target that is due for a trial call is the only one.
         """
-        trial = self._due_trial(service, excluded_ids) if may_send_trial else None
+        trial = self._due_trial(service, regions, excluded_ids) if may_send_trial else None
         if trial is not None:
             return Sample([trial])
-        alive = self.alive_targets(service)
+        alive = self.alive_targets(service, regions)
         sample = self._draw_sample(alive, excluded_ids, False)
         if sample.in_region or sample.other_regions:
             return sample
@@ -163,7 +192,9 @@
         allowed = [view for view in drawn if view.member.node_id not in excluded_ids]
         return [view for view in allowed if with_ejected or not view.health.ejected][:limit]
 
-    def _due_trial(self, service: str, excluded_ids: set[str]) -> TargetView | None:
+    def _due_trial(
+        self, service: str, regions: list[str], excluded_ids: set[str]
+    ) -> TargetView | None:
         """Return an ejected target of a service that is due for a trial call, if there is one."""
         for node_id in list(self._ejected_ids):
             view = self.view_by_id.get(node_id)
@@ -174,6 +205,7 @@
                 and view.member.state is MemberState.alive
                 and node_id not in excluded_ids
                 and view.health.trial_due
+                and self._is_usable(view, regions)
             ):
                 return view
         return None
--- a/foxtailproxy/tests/steps/dispatch.py
+++ b/foxtailproxy/tests/steps/dispatch.py
@@ -172,7 +172,12 @@
     context.call = make_call(
         clock,
         1000,
-        rule={"idempotent": may == "may", "attempts": attempts, "objective_ms": 400},
+        rule={
+            "idempotent": may == "may",
+            "attempts": attempts,
+            "objective_ms": 400,
+            "regions": getattr(context, "regions", []),
+        },
         received_ms=clock.now_ms(),
     )
     context.dispatcher = dispatcher
