Spread evacuations of data centres, and notice restores of the store

Cause: an evacuation in the store had no effect, and after a restore of the store from an older copy nodes kept revisions, versions and records that it no longer has. Change: the watchers of the configuration also watch the evacuations; gossip carries (era, revision) and the data centres while there is something to tell. Routers choose no target there, the node beside a target rejects calls. The stand-in of the store sends its era and ends its watches at a restore.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -161,6 +161,8 @@
             "platform_failures": self._node.store.counters.failures,
             "speed_checks": self._node.target.health_check.speed_checks,
             "retries": self._node.metrics.retries,
+            "evacuated_data_centers": len(self._node.evacuations.in_force),
+            "store_era": self._node.store_era.number,
             "no_allowed_target": self._node.metrics.no_allowed_target,
             **_packet_gauges("sent", self._node.gossip.socket.sent_by_kind),
             **_packet_gauges("skipped", self._node.gossip.socket.skipped_by_kind),
--- a/foxtailproxy/claims.py
+++ b/foxtailproxy/claims.py
@@ -15,12 +15,14 @@
 import msgspec
 import structlog
 from expression import Error, Ok, Result
+from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.call import Call, new_id
 from foxtailproxy.http.errors import HttpError
 from foxtailproxy.models.messages import ClaimRecord
 from foxtailproxy.outcome import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 from foxtailproxy.runs import RunTable, SharedRun
+from foxtailproxy.storage.store_era import StoreEra
 from foxtailproxy.store import Conflict, Missing, StoredObject
 
 if TYPE_CHECKING:
@@ -35,6 +37,10 @@
 MAX_CLAIM_ATTEMPTS = 3
 """Maximum number of claims tried for one call while others claim and release the same key."""
 
+CLAIM_REWRITE_MS = 60_000
+"""Age up to which a claim is written again after the store has come back from an older copy, which
+is some seconds old."""
+
 CLAIM_RETENTION_MS = 600_000
 """Time for which the holder of a claim keeps its outcome without the answer, in milliseconds."""
 
@@ -46,6 +52,17 @@
     path: str
     version: int
     run: SharedRun
+    value: str
+    rises: int
+    """Rises of the store's era that were known when it was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """The value of a claim in the store, and the time until which it is written again."""
+
+    value: str
+    until_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +91,7 @@
         store: Store,
         peers: PeerClient,
         local_member: MemberRecord,
+        era: StoreEra | None = None,
     ) -> None:
         self.runs = RunTable(clock, limits.kept_answer_bytes, limits.kept_answer_ms)
         self._clock = clock
@@ -81,6 +99,9 @@
         self._store = store
         self._peers = peers
         self._local_member = local_member
+        self._era = era or StoreEra(clock)
+        self._era.add_listener(self._rewrite)
+        self._held_by_path: dict[str, HeldClaim] = {}
 
     async def acquire(self, call: Call) -> Result[Claim, Outcome]:
         """Claim the key of a call.
@@ -90,9 +111,15 @@
         """
         path = claim_path(call)
         version: int | None = None
+        rises = self._era.rises
+        if not self._is_trusted(rises):
+            return Error(Error(self._untrusted(None, call)))
         for _ in range(MAX_CLAIM_ATTEMPTS):
             claimed = await self._write_claim(path, call, version)
+            if not self._is_trusted(rises):
+                return Error(Error(self._untrusted(claimed, call)))
             if claimed.is_ok():
+                self._hold(claimed.ok)
                 return Ok(claimed.ok)
             failure = claimed.error
             if isinstance(failure, KeyReleased):
@@ -110,12 +137,63 @@
         """Keep the outcome of a claimed call; release the key if the call did not run."""
         await claim.run.complete(outcome, self._limits.replay_bytes)
         if outcome.is_error() and isinstance(outcome.error, NotRun):
-            await self._store.delete(claim.path, claim.version)
+            self._held_by_path.pop(claim.path, None)
+            if claim.rises == self._era.rises:
+                await self._store.delete(claim.path, claim.version)
+            # Otherwise the version may be that of another claim. This one stays, if the store still
+            # has it, and tells those who ask that its call never runs.
+
+    # Restore of the store
+
+    def _is_trusted(self, rises: int) -> bool:
+        """Return whether a claim that was begun after `rises` of the era is the only one.
+
+        For the grace time after a rise it may not be: the store may have lost that of a call that
+        runs, whose holder writes it again in that time.
+        """
+        return rises == self._era.rises and not self._era.rise_grace_left_ms
+
+    def _untrusted(
+        self, claimed: Result[Claim, ClaimFailure] | None, call: Call
+    ) -> NotRun | Unknown:
+        """Give up a claim that the store may have granted twice; its call is never dispatched."""
+        if claimed is not None and claimed.is_ok():
+            claimed.ok.run.fail(NotRun(NotRunReason.SEALED))
+        log.warning("claim_not_trusted", attempt=call.attempt_id, era=self._era.number)
+        retry_after_ms = round(self._era.rise_grace_left_ms)
+        rejection = NotRun(NotRunReason.PLATFORM_DOWN, retry_after_ms)
+        return unchecked_key_failure(call.first_send, rejection)
+
+    def _hold(self, claim: Claim) -> None:
+        """Keep a claim for a while, to write it again if the store loses it."""
+        now_ms = self._clock.now_ms()
+        for path, held in list(self._held_by_path.items()):
+            if held.until_ms > now_ms:
+                break
+            del self._held_by_path[path]
+        self._held_by_path.pop(claim.path, None)
+        self._held_by_path[claim.path] = HeldClaim(claim.value, now_ms + CLAIM_REWRITE_MS)
+
+    def _rewrite(self) -> None:
+        """Write the claims of the latest calls again; the store keeps another one of the key."""
+        ensureDeferred(self._rewrite_held())  # type: ignore[arg-type]
+
+    async def _rewrite_held(self) -> None:
+        now_ms = self._clock.now_ms()
+        held_by_path = {
+            path: held for path, held in self._held_by_path.items() if held.until_ms > now_ms
+        }
+        written = [
+            (await self._store.create(path, held.value)).is_ok()
+            for path, held in held_by_path.items()
+        ]
+        if written:
+            log.info("claims_rewritten", written=sum(written), kept=len(written) - sum(written))
 
     async def _write_claim(
         self, path: str, call: Call, version: int | None
     ) -> Result[Claim, ClaimFailure]:
-        claim_id = new_id()
+        claim_id, rises = new_id(), self._era.rises
         run = self.runs.open(claim_id, self._clock.now_ms() + CLAIM_RETENTION_MS)
         record = ClaimRecord(
             claim_id,
@@ -135,7 +213,7 @@
             stored = await self._store.read(path)
         result = self._resolve_write(call, path, claim_id, stored, written)
         if result.is_ok():
-            return Ok(Claim(path, result.ok, run))
+            return Ok(Claim(path, result.ok, run, value, rises))
         # This claim is never dispatched, even if the write takes effect later.
         run.fail(NotRun(NotRunReason.SEALED))
         return Error(result.error)
--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -13,7 +13,6 @@
 
 import msgspec
 import structlog
-from expression import Result
 from twisted.internet.defer import ensureDeferred
 
 from foxtailproxy.back_off import back_off_ms
@@ -22,10 +21,12 @@
 from foxtailproxy.exceptions import SettingsError
 from foxtailproxy.models.messages import ConfigObject, MemberState
 from foxtailproxy.registration import MEMBER_KIND
-from foxtailproxy.store import Changes, HistoryGone, Missing
+from foxtailproxy.storage.kind_watch import KindWatch
+from foxtailproxy.storage.store_era import StoreEra
+from foxtailproxy.store import Missing
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from twisted.internet.task import LoopingCall
 
@@ -34,7 +35,7 @@
     from foxtailproxy.models.messages import MemberRecord
     from foxtailproxy.models.rules import Rules
     from foxtailproxy.peer_client import PeerClient
-    from foxtailproxy.store import Store, StoreFailure
+    from foxtailproxy.store import Changes, ObjectListing, Store, StoredObject
 
 log = structlog.get_logger()
 
@@ -113,7 +114,7 @@
     """Synchronizer that adopts newer configurations and never returns to an older one.
 
     `store_lost` tells whether this node watches the store but does not reach it; `send_state` tells
-    it to some peers.
+    it to some peers. The watchers also follow `other_watches`.
     """
 
     def __init__(
@@ -126,6 +127,8 @@
         on_adopted: Callable[[RuleBook], None],
         send_state: Callable[[list[MemberRecord]], None],
         config_source: ConfigSource | None = None,
+        era: StoreEra | None = None,
+        other_watches: Sequence[KindWatch] = (),
     ) -> None:
         self.store_lost = False
         self.current: ConfigObject | None = None
@@ -142,7 +145,10 @@
         self._replaced_ids: set[str] = set()
         self._watching = False
         self._watcher_check: LoopingCall | None = None
-        self._revision = 0
+        self._era = era or StoreEra(clock)
+        self._kind_watch = KindWatch(store, self._source.kind, self._era, self)
+        self._other_watches = other_watches
+        self._followed: list[KindWatch] = []
         self._pending_fetches: set[tuple[int, str]] = set()
         self._announced_version: tuple[int, str] = (0, "")
         self._announced_ms = 0.0
@@ -296,8 +302,10 @@
         is_probe_due = bool(self._replaced_ids)
         failures = 0
         while not self._closed and self.is_watcher():
+            if not is_probe_due:
+                self._start_followers()
             started_ms = self._clock.now_ms()
-            failed = not await (self._probe() if is_probe_due else self._receive_changes())
+            failed = not await (self._probe() if is_probe_due else self._kind_watch.receive())
             self._record_store_state(failed)
             if failed or not is_probe_due:
                 failures = failures + 1 if failed else 0
@@ -320,32 +328,41 @@
         read = await self._store.read(path, stale=True)
         return read.is_ok() or isinstance(read.error, Missing)
 
-    async def _receive_changes(self) -> bool:
-        """Adopt the next change; return whether the store answered."""
-        changes = await self._next_changes()
-        if changes.is_ok():
-            self._apply_changes(changes.ok)
-        return changes.is_ok()
-
-    async def _next_changes(self) -> Result[Changes, StoreFailure]:
-        """Wait for changes; list all objects at the start or when the history is gone."""
-        if self._revision:
-            changes = await self._store.watch(self._source.kind, self._revision)
-            if not (changes.is_error() and isinstance(changes.error, HistoryGone)):
-                return changes
-            log.warning("store_history_gone", revision=self._revision)
-        listing = await self._store.list_objects(self._source.kind)
-        return listing.map(lambda found: Changes(found.revision, found.objects))
-
-    def _apply_changes(self, changes: Changes) -> None:
-        if changes.revision < self._revision:
-            log.warning(
-                "store_revision_decreased",
-                revision=changes.revision,
-                previous_revision=self._revision,
-            )
-        self._revision = changes.revision
-        for stored in changes.objects:
+    def _start_followers(self) -> None:
+        """Watch the other kinds as well, each beside the configuration."""
+        for kind_watch in self._other_watches:
+            if kind_watch not in self._followed:
+                self._followed.append(kind_watch)
+                ensureDeferred(self._follow(kind_watch))  # type: ignore[arg-type]
+
+    async def _follow(self, kind_watch: KindWatch) -> None:
+        """Watch another kind while this node is a watcher and reaches the store."""
+        failures = 0
+        while self._watching and not self._closed:
+            if self.store_lost:
+                # The probes of the configuration's watch tell when the store is back.
+                await self._clock.sleep(INITIAL_BACK_OFF_MS)
+                continue
+            started_ms = self._clock.now_ms()
+            failures = 0 if await kind_watch.receive() else failures + 1
+            if failures or self._clock.now_ms() - started_ms < MIN_WATCH_MS:
+                await self._clock.sleep(
+                    back_off_ms(max(1, failures), INITIAL_BACK_OFF_MS, MAX_BACK_OFF_MS, self._rng)
+                )
+        self._followed.remove(kind_watch)
+
+    # Listener of the watch
+
+    def listing_received(self, listing: ObjectListing) -> None:
+        """Adopt the configuration in a listing."""
+        self._adopt_objects(listing.objects)
+
+    def changes_received(self, changes: Changes) -> None:
+        """Adopt a change of the configuration."""
+        self._adopt_objects(changes.objects)
+
+    def _adopt_objects(self, objects: list[StoredObject]) -> None:
+        for stored in objects:
             if stored.path == self._source.path:
                 self._adopt_stored(stored.value)
 
--- a/foxtailproxy/gossip_socket.py
+++ b/foxtailproxy/gossip_socket.py
@@ -5,7 +5,7 @@
 import zlib
 from collections import Counter
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 import structlog
@@ -13,7 +13,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from foxtailproxy.load_exchange import LOAD_MARKS
-from foxtailproxy.models.messages import GossipPacket, MemberState, PacketKind
+from foxtailproxy.models.messages import ExtendedPacket, GossipPacket, MemberState, PacketKind
 from foxtailproxy.traffic_budget import Purpose, TrafficBudget
 
 if TYPE_CHECKING:
@@ -75,6 +75,16 @@
     return Purpose.verdict
 
 
+class PacketExtension(Protocol):
+    """Adds what is to be told beside the packet's own content, and receives it from peers."""
+
+    def extend(self, packet: GossipPacket) -> GossipPacket:
+        """Return a packet with further fields, or as it is if there is nothing to tell."""
+
+    def packet_received(self, packet: ExtendedPacket) -> None:
+        """Handle the further fields of a peer's packet."""
+
+
 @dataclass(slots=True)
 class TrafficCounters:
     """Packets and bytes at the socket, with IP and UDP headers; `paid` counts between regions."""
@@ -115,6 +125,7 @@
         self.paid_budget = paid_budget
         self.last_received_ms = 0.0
         self.on_load_datagram: Callable[[bytes, Address], None] | None = None
+        self.extension: PacketExtension | None = None
         self._clock = clock
         self._table = table
         self._config_version = config_version
@@ -123,7 +134,7 @@
         self._sequence = 0
         self._skipped_unlogged: Counter[PacketKind] = Counter()
         self._skipped_logged_ms = clock.now_ms()
-        self._decoder = msgspec.msgpack.Decoder(GossipPacket)
+        self._decoder = msgspec.msgpack.Decoder(ExtendedPacket)
         self._encoder = msgspec.msgpack.Encoder()
 
     def build_packet(self, kind: PacketKind, sequence: int = 0, **fields: Any) -> GossipPacket:
@@ -150,6 +161,8 @@
             return
         if packet.sender != self._table.local_record.node_id:
             self.last_received_ms = self._clock.now_ms()
+            if self.extension is not None:
+                self.extension.packet_received(packet)
             self._on_packet(packet, (addr[0], addr[1]))
 
     def send(self, member: MemberRecord, packet: GossipPacket) -> bool:
@@ -165,13 +178,14 @@
         if self.transport is None:
             return False
         generation, change = self._config_version()
+        packet = replace(
+            packet,
+            config_generation=generation,
+            config_change=change,
+            store_lost=self._store_lost(),
+        )
         data = self._encoder.encode(
-            replace(
-                packet,
-                config_generation=generation,
-                config_change=change,
-                store_lost=self._store_lost(),
-            )
+            packet if self.extension is None else self.extension.extend(packet)
         )
         if packet.kind in COMPRESSED_KINDS:
             data = compress(data)
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -178,6 +178,52 @@
     """
 
 
+EvacuatedItem: TypeAlias = Annotated[str, Meta(max_length=63)]
+
+
+HeldItem: TypeAlias = Annotated[str, Meta(max_length=63)]
+
+
+class ExtendedPacket(GossipPacket):
+    """
+    Gossip datagram with the store's era and the evacuated data centres; sent only while there are some, or a short time after a change.
+    """
+
+    store_era: Annotated[
+        int, Meta(description="Highest era of the store that the sender knows.", ge=0)
+    ] = 0
+    """
+    Highest era of the store that the sender knows.
+    """
+    evacuation_era: Annotated[
+        int, Meta(description="Era in which the evacuations were read.", ge=0)
+    ] = 0
+    """
+    Era in which the evacuations were read.
+    """
+    evacuation_revision: Annotated[
+        int, Meta(description="Revision of the store at which they were read.", ge=0)
+    ] = 0
+    """
+    Revision of the store at which they were read.
+    """
+    evacuated: Annotated[
+        list[EvacuatedItem], Meta(description="Data centres that were evacuated at that revision.")
+    ] = field(default_factory=list)
+    """
+    Data centres that were evacuated at that revision.
+    """
+    held: Annotated[
+        list[HeldItem],
+        Meta(
+            description="Data centres that count as evacuated although they were missing there, since the store came back from an older copy a short time ago."
+        ),
+    ] = field(default_factory=list)
+    """
+    Data centres that count as evacuated although they were missing there, since the store came back from an older copy a short time ago.
+    """
+
+
 class CallHead(Struct, array_like=True):
     """
     Metadata of one call, sent to the node of its target.
@@ -431,6 +477,7 @@
 
 class Messages(Struct):
     packet: GossipPacket
+    extended_packet: ExtendedPacket
     claim: ClaimRecord
     announcement: Announcement
     config: ConfigObject
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -20,6 +20,7 @@
 from foxtailproxy.clock import Clock
 from foxtailproxy.config.settings import split_address
 from foxtailproxy.config_sync import ConfigSync, IniConfigSource
+from foxtailproxy.constraints.evacuation import EVACUATION_KIND, Evacuations
 from foxtailproxy.dialect import FoxtailDialect
 from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.first_announcement import FirstAnnouncement
@@ -42,6 +43,8 @@
 from foxtailproxy.registration import Registration
 from foxtailproxy.retry_budget import RetryBudgets, RetryLimits
 from foxtailproxy.routing import Router
+from foxtailproxy.storage.kind_watch import KindWatch
+from foxtailproxy.storage.store_era import StoreEra
 from foxtailproxy.target import Target
 from foxtailproxy.token_bucket import TokenBucket
 from foxtailproxy.traffic_budget import TrafficBudget
@@ -141,9 +144,21 @@
             self.settings.links,
         )
         self.peers = PeerClient(clock, reactor, limits, self.router.record_load)
-        self.store = StoreClient(reactor, self.settings.platform)
+        self.store_era = StoreEra(clock)
+        self.store = StoreClient(reactor, self.settings.platform, self.store_era)
+        self.evacuations = Evacuations(
+            clock,
+            self.store_era,
+            self._evacuations_changed,
+            lambda: self.gossip.disseminate_config(),
+        )
         self.registration = Registration(
-            clock, self.store, self.table, rng, lambda: self.state.name == "serving"
+            clock,
+            self.store,
+            self.table,
+            rng,
+            lambda: self.state.name == "serving",
+            self.store_era,
         )
         self.first_announcement = FirstAnnouncement(
             clock, self.target, lambda: self.registration.registered
@@ -157,6 +172,8 @@
             self._config_adopted,
             lambda members: self.gossip.send_state(members),
             PlatformConfigSource() if uses_adapter else IniConfigSource(),
+            self.store_era,
+            [KindWatch(self.store, EVACUATION_KIND, self.store_era, self.evacuations)],
         )
         self.retry_budgets = RetryBudgets(
             clock, self._retry_limits(), lambda: len(self.table.live_peers()) + 1
@@ -170,11 +187,14 @@
             TrafficBudget(clock, fleet.paid_measure_bytes_per_s),
         )
         socket = self.gossip.socket
+        socket.extension = self.evacuations
         self.loads = LoadExchange(
             clock, self.target, self.table.local_record.region, rng, socket.send_datagram
         )
         socket.on_load_datagram = self.loads.handle_datagram
-        self.claims = Claims(clock, limits, self.store, self.peers, self.table.local_record)
+        self.claims = Claims(
+            clock, limits, self.store, self.peers, self.table.local_record, self.store_era
+        )
         dispatcher = Dispatcher(
             clock,
             limits,
@@ -350,8 +370,12 @@
 
     async def _join(self, discovery: Deferred[None]) -> None:
         """Get the members and the configuration from the store or from peers."""
+        evacuations: Deferred[Any] = ensureDeferred(
+            self.evacuations.read(self.store)  # type: ignore[arg-type]
+        )
         timeout = self.clock.sleep(MAX_DISCOVERY_MS)
-        await DeferredList([discovery, timeout], fireOnOneCallback=True)
+        found: Deferred[Any] = DeferredList([discovery, evacuations])
+        await DeferredList([found, timeout], fireOnOneCallback=True)
         failures = 0
         while self.state.name == "serving":
             self._compare_with_seeds()
@@ -464,6 +488,7 @@
         self._gossip_local_record(state=MemberState.dead)
         await self._close_server(self._peer_port, self._peer_factory)
         self.config_sync.close()
+        self.evacuations.close()
         self.registration.close()
         self.first_announcement.close()
         self.gossip.close()
@@ -572,6 +597,10 @@
         else:
             self.clock.call_later(MAX_RECORD_WAIT_MS, self._use_target)
 
+    def _evacuations_changed(self, data_centers: frozenset[str]) -> None:
+        self.router.index.set_evacuated(data_centers)
+        self.target.set_evacuated(self.table.local_record.data_center in data_centers)
+
     def _use_target(self) -> None:
         """Use the upstream although the record of the earlier process may not have been read."""
         if not self.target.knows_left_processes:
--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote, urlencode
 
@@ -17,7 +18,10 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from foxtailproxy.clock import Clock
 from foxtailproxy.http.transport import enable_tcp_keepalive
+from foxtailproxy.platform.headers import STORE_ERA
+from foxtailproxy.storage.store_era import StoreEra
 from foxtailproxy.store import (
     Changes,
     Conflict,
@@ -83,6 +87,14 @@
     current_rev: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReply:
+    """Body of an answer of the store, and the store's era."""
+
+    body: bytes
+    era: int
+
+
 @implementer(IAgentEndpointFactory)
 class _StoreEndpointFactory:
     """Factory of endpoints whose connections detect that the store no longer knows them."""
@@ -148,8 +160,11 @@
     shared one, a second copy of a response could be taken for the response to the next call.
     """
 
-    def __init__(self, reactor: Any, settings: PlatformSection) -> None:
+    def __init__(
+        self, reactor: Any, settings: PlatformSection, era: StoreEra | None = None
+    ) -> None:
         self.counters = StoreCounters()
+        self.era = era or StoreEra(Clock(reactor))
         self._is_unavailable = False
         self._url = settings.url
         self._timeout_s = settings.timeout_ms / MS_PER_SECOND
@@ -164,23 +179,27 @@
         kind, name = _split_path(path)
         query = f"?{urlencode(STALE_READ_QUERY)}" if stale else ""
         result = await self._send("GET", _object_path(kind, name) + query, None)
-        return result.bind(lambda body: _decode_object(kind, body))
+        return result.bind(lambda reply: _decode_object(kind, reply.body))
 
     async def list_objects(
         self, kind: str, stale: bool = False
     ) -> Result[ObjectListing, StoreFailure]:
         """List all objects of a kind, page by page."""
         objects: list[StoredObject] = []
+        eras: set[int] = set()
         query: dict[str, str | int] = {**STALE_READ_QUERY} if stale else {}
         while True:
             self.counters.reads += 1
             result = await self._send("GET", _kind_path(kind, query), None)
-            page = result.bind(lambda body: _decode(body, ListPage))
+            page = result.bind(lambda reply: _decode(reply.body, ListPage))
             if page.is_error():
                 return Error(page.error)
+            eras.add(result.ok.era)
+            if len(eras) > 1:
+                return Error(Unreachable("the store was restored during the listing"))
             objects += [_to_object(kind, item) for item in page.ok.items]
             if not page.ok.has_more or not page.ok.items:
-                return Ok(ObjectListing(page.ok.current_rev, objects))
+                return Ok(ObjectListing(page.ok.current_rev, objects, result.ok.era))
             query["after"] = page.ok.items[-1].metadata.name
 
     async def create(self, path: str, value: str) -> Result[StoredObject, StoreFailure]:
@@ -213,8 +232,8 @@
         self.counters.watches += 1
         path = _kind_path(kind, {"watch": revision, "wait_ms": WATCH_WAIT_MS})
         result = await self._send("GET", path, None, WATCH_WAIT_MS / MS_PER_SECOND)
-        response = result.bind(lambda body: _decode(body, WatchResponse))
-        return response.map(lambda decoded: _to_changes(kind, decoded))
+        response = result.bind(lambda reply: _decode(reply.body, WatchResponse))
+        return response.map(lambda decoded: _to_changes(kind, decoded, result.ok.era))
 
     async def _write(
         self, method: str, path: str, value: str, version: int | None
@@ -226,11 +245,11 @@
             metadata["revision"] = version
         body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value.encode())})
         result = await self._send(method, _object_path(kind, name), body)
-        return result.bind(lambda response_body: _decode_object(kind, response_body))
+        return result.bind(lambda reply: _decode_object(kind, reply.body))
 
     async def _send(
         self, method: str, path: str, data: bytes | None, extra_timeout_s: float = 0.0
-    ) -> Result[bytes, StoreFailure]:
+    ) -> Result[StoreReply, StoreFailure]:
         result = await self._exchange(method, path, data, self._timeout_s + extra_timeout_s)
         is_unavailable = result.is_error() and isinstance(result.error, Refused | Unreachable)
         if is_unavailable:
@@ -243,7 +262,7 @@
 
     async def _exchange(
         self, method: str, path: str, data: bytes | None, timeout_s: float
-    ) -> Result[bytes, StoreFailure]:
+    ) -> Result[StoreReply, StoreFailure]:
         headers: Any = {} if data is None else {"content-type": "application/json"}
         try:
             response = await self._treq.request(
@@ -262,7 +281,16 @@
             return Error(Unreachable("the request was cancelled"))
         except Exception as error:
             return Error(Unreachable(type(error).__name__))
-        return _to_result(response.code, path, body)
+        era = self._read_era(response.headers)
+        return _to_result(response.code, path, body).map(lambda body: StoreReply(body, era))
+
+    def _read_era(self, headers: Any) -> int:
+        """Return the era in an answer, or the known one if it has none."""
+        value = headers.getRawHeaders(STORE_ERA, [b""])[0]
+        if not value.isdigit():
+            return self.era.number
+        self.era.observe(int(value), "platform")
+        return int(value)
 
 
 def _to_result(status: int, path: str, body: bytes) -> Result[bytes, StoreFailure]:
@@ -302,11 +330,17 @@
     )
 
 
-def _to_changes(kind: str, response: WatchResponse) -> Changes:
+def _to_changes(kind: str, response: WatchResponse, era: int) -> Changes:
+    is_deleted_by_name = {event.object.metadata.name: event.deleted for event in response.events}
     return Changes(
         response.current_rev,
-        [_to_object(kind, event.object) for event in response.events if not event.deleted],
-        [f"{kind}/{event.object.metadata.name}" for event in response.events if event.deleted],
+        [
+            _to_object(kind, event.object)
+            for event in response.events
+            if not event.deleted and not is_deleted_by_name[event.object.metadata.name]
+        ],
+        [f"{kind}/{name}" for name, is_deleted in is_deleted_by_name.items() if is_deleted],
+        era,
     )
 
 
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -10,6 +10,7 @@
 
 from foxtailproxy.back_off import back_off_ms
 from foxtailproxy.models.messages import MemberRecord
+from foxtailproxy.storage.store_era import StoreEra
 from foxtailproxy.store import Conflict, Missing, Refused
 
 if TYPE_CHECKING:
@@ -40,6 +41,9 @@
 MAX_LEAVING_BACK_OFF_MS = 1_000
 """Maximum back-off while the upstream waits for the acknowledgement of its leaving."""
 
+MAX_REWRITE_DELAY_MS = 1000
+"""Longest random delay before the record is written again after a rise of the store's era."""
+
 MAX_CONFLICTS = 3
 """Maximum number of conflicts in one write, each of which takes another call of the store."""
 
@@ -59,12 +63,17 @@
         table: MemberTable,
         rng: random.Random,
         serving: Callable[[], bool],
+        era: StoreEra | None = None,
     ) -> None:
         self._clock = clock
         self._store = store
         self._table = table
         self._rng = rng
         self._serving = serving
+        self._era = era or StoreEra(clock)
+        self._era.add_listener(self._rewrite)
+        self._rewrites = False
+        self._rises_before = 0
         self._lock = DeferredLock()
         self._stored: MemberRecord | None = None
         self._version: int | None = None
@@ -109,12 +118,12 @@
 
     async def _create(self) -> Result[StoredObject, StoreFailure]:
         """Create the local record, or read the one that the store has already."""
-        record = self._table.local_record
+        record, rises = self._table.local_record, self._era.rises
         created = await self._store.create(self._path, _encode(record))
         if created.is_ok():
-            self._record_write(record, created.ok.version)
+            self._record_write(record, created.ok.version, rises)
         elif isinstance(created.error, Conflict):
-            await self._read_current(created.error)
+            await self._read_current(created.error, rises)
         else:
             self._failures += 1
         await self._delete_if_removed()
@@ -148,10 +157,10 @@
         for _ in range(1 + MAX_CONFLICTS):
             if self._removed:
                 return False
-            record = self._table.local_record
+            record, rises = self._table.local_record, self._era.rises
             written = await self._write_conditionally(record)
             if written.is_ok():
-                self._record_write(record, written.ok.version)
+                self._record_write(record, written.ok.version, rises)
                 await self._delete_if_removed()
                 return True
             if isinstance(written.error, Missing):
@@ -159,7 +168,7 @@
                 continue
             if not isinstance(written.error, Conflict):
                 break
-            if not await self._read_current(written.error):
+            if not await self._read_current(written.error, rises):
                 break
             if self._stored == record:
                 # An earlier write without an answer took effect.
@@ -172,13 +181,21 @@
     async def _write_conditionally(
         self, record: MemberRecord
     ) -> Result[StoredObject, StoreFailure]:
-        """Write a record if the store still has the version that was read or written last."""
+        """Write a record if the store still has the version that was read or written last.
+
+        A version of an earlier era is not used: the store may have assigned it again.
+        """
+        if self._may_be_lost:
+            self._version = None
         if self._version is None:
             return await self._store.create(self._path, _encode(record))
         return await self._store.update(self._path, _encode(record), self._version)
 
-    async def _read_current(self, conflict: Conflict) -> bool:
-        """Read the record that the store has after a conflict; return whether it is known."""
+    async def _read_current(self, conflict: Conflict, rises: int) -> bool:
+        """Read the record that the store has after a conflict; return whether it is known.
+
+        `rises` is the number of rises of the era that were known before the call that conflicted.
+        """
         current = conflict.current
         if current is None:
             read = await self._store.read(self._path)
@@ -186,16 +203,49 @@
                 self._version = None
                 return isinstance(read.error, Missing)
             current = read.ok
-        self._version = current.version
+        self._version, self._rises_before = current.version, rises
         self._stored = _decode(current.value)
         if self._stored is not None:
             self._table.merge(self._stored)
         return True
 
-    def _record_write(self, record: MemberRecord, version: int) -> None:
+    def _record_write(self, record: MemberRecord, version: int, rises: int) -> None:
+        """Record a write that was begun after `rises` of the era; a later one may undo it."""
         self._failures = 0
         self._version = version
         self._stored = record
+        self._rises_before = rises
+
+    # Restore of the store
+
+    @property
+    def _may_be_lost(self) -> bool:
+        """Whether the store has been restored since the record was written or read there."""
+        return self._rises_before < self._era.rises
+
+    def _rewrite(self) -> None:
+        """Write the record again after a rise of the era, if it was written before."""
+        if self._attempted and not self._rewrites and not self._closed:
+            self._rewrites = True
+            ensureDeferred(self._write_until_current())  # type: ignore[arg-type]
+
+    async def _write_until_current(self) -> None:
+        failures = 0
+        # All nodes see the rise at about the same time.
+        await self._clock.sleep(self._rng.random() * MAX_REWRITE_DELAY_MS)
+        while not self._closed and not self._removed and self._may_be_lost:
+            if not await self.write():
+                failures += 1
+                await self._clock.sleep(self.retry_delay_ms(failures))
+        self._rewrites = False
+        local = self._table.local_record
+        log.info(
+            "registration_rewritten",
+            member=local.node_id,
+            era=self._era.number,
+            target_left=local.target_left,
+            failed=failures,
+        )
 
     # Leaving of the local target
 
@@ -219,6 +269,7 @@
             return True
         return (
             stored is not None
+            and not self._may_be_lost
             and stored.target_left
             and (stored.instance, stored.born_ms) == (local.instance, local.born_ms)
         )
@@ -278,12 +329,20 @@
 
     async def _delete(self) -> None:
         """Delete the record, but not one that a later process of this node has written."""
-        deleted = await self._store.delete(self._path, self._version)
-        if deleted.is_ok() or not isinstance(deleted.error, Conflict):
-            return
-        is_known = await self._read_current(deleted.error)
+        conflict = Conflict()
+        if self._version is None or not self._may_be_lost:
+            deleted = await self._store.delete(self._path, self._version)
+            if deleted.is_ok() or not isinstance(deleted.error, Conflict):
+                return
+            conflict = deleted.error
+        is_known = await self._read_current(conflict, self._era.rises)
         stored = self._stored
-        if is_known and stored and stored.boot_id == self._table.local_record.boot_id:
+        if (
+            is_known
+            and self._version is not None
+            and stored
+            and stored.boot_id == self._table.local_record.boot_id
+        ):
             await self._store.delete(self._path, self._version)
 
 
--- a/foxtailproxy/store.py
+++ b/foxtailproxy/store.py
@@ -22,19 +22,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectListing:
-    """All objects of a kind and the revision of the store at which they were read."""
+    """All objects of a kind, and the revision and era of the store at which they were read."""
 
     revision: int
     objects: list[StoredObject]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes in a kind up to `revision`; `removed` holds the paths of removed objects."""
+    """Changes in a kind up to `revision`; `removed` holds the paths of removed objects.
+
+    No path is among both: the latest change of an object counts. Revisions are comparable only
+    within one `era`.
+    """
 
     revision: int
     objects: list[StoredObject]
     removed: list[str] = field(default_factory=list)
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -91,6 +91,7 @@
         settings = settings or UpstreamSection()
         self.announcement: Announcement | None = None
         self.leaving = False
+        self.evacuated = False
         self.knows_left_processes = True
         self._dialect = dialect
         self._log_calls = log_calls
@@ -230,6 +231,15 @@
         self.admission.reject_waiting(NotRunReason.LEAVING)
         self._listener.target_changed()
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Take no new calls while the data centre is evacuated: reject the waiting ones.
+
+        Running calls finish and health checks go on.
+        """
+        self.evacuated = evacuated
+        if evacuated:
+            self.admission.reject_waiting(NotRunReason.EVACUATED)
+
     @property
     def down(self) -> bool:
         """Whether the upstream accepts no connections."""
@@ -266,6 +276,7 @@
         announcement = self.announcement
         return (
             self.serving
+            and not self.evacuated
             and self.knows_left_processes
             and announcement is not None
             and announcement.service == service
@@ -376,6 +387,8 @@
             return NotRun(NotRunReason.LEAVING)
         if self.down:
             return NotRun(NotRunReason.TARGET_DOWN)
+        if self.evacuated:
+            return NotRun(NotRunReason.EVACUATED)
         if call.remaining_ms(self._clock) <= 0:
             return NotRun(NotRunReason.DEADLINE)
         return None
@@ -389,6 +402,8 @@
             return NotRun(NotRunReason.CANCELLED)
         if call.remaining_ms(self._clock) < 1:
             return NotRun(NotRunReason.DEADLINE)
+        if self.evacuated:
+            return NotRun(NotRunReason.EVACUATED)
         if pool is not self._pool:
             return self._rejection(call) or NotRun(NotRunReason.TARGET_DOWN)
         return None
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,7 @@
 | `DELETE /objects/KIND/NAME` | delete, or mark as deleting if it has finalizers; `revision` |
 | `POST /faults` | set the faults, as JSON |
 | `POST /compact` | drop the history and close the watches |
-| `POST /snapshot`, `POST /restore` | take a snapshot of the objects, and restore it |
+| `POST /snapshot`, `POST /restore` | take a snapshot, and come back from it in the next era |
 | `GET /counters` | number of reads, writes and watches |
 """
 
@@ -92,9 +92,10 @@
 
 
 class ObjectStore:
-    """Objects in memory; revisions come from one counter and are never reused."""
+    """Objects in memory; revisions come from one counter and are never reused within an era."""
 
     def __init__(self) -> None:
+        self.era = 1
         self.by_path: dict[tuple[str, str], ObjectRecord] = {}
         self.revision = 1
         self.events: list[ChangeEvent] = []
@@ -138,6 +139,17 @@
         """Drop the history and close all watches."""
         self.events = []
         self.oldest_revision = self.revision + 1
+        self._cut_watches()
+
+    def restore(self, by_path: dict[tuple[str, str], ObjectRecord], revision: int) -> None:
+        """Come back from an older copy: revisions go back, the era rises, all watches are cut."""
+        self.era += 1
+        self.by_path = dict(by_path)
+        self.revision = revision
+        self.events = [event for event in self.events if event.revision <= revision]
+        self._cut_watches()
+
+    def _cut_watches(self) -> None:
         watchers, self.watchers = self.watchers, []
         for _, changed in watchers:
             changed.callback(True)
@@ -357,12 +369,8 @@
 
     @app.route("/restore", methods=["POST"])
     def restore(self, request: Any) -> bytes:
-        """Restore the objects of the snapshot."""
-        self.store.by_path = dict(self.snapshot[0])
-        self.store.revision = self.snapshot[1]
-        self.store.events = [
-            event for event in self.store.events if event.revision <= self.store.revision
-        ]
+        """Restore the objects and the revision of the snapshot, and begin the next era."""
+        self.store.restore(*self.snapshot)
         return b"{}"
 
     @app.route("/counters", methods=["GET"])
@@ -382,6 +390,7 @@
             return Deferred()
         request.setResponseCode(status)
         request.setHeader("content-type", "application/json")
+        request.setHeader("Store-Era", str(self.store.era))
         body = msgspec.json.encode(value)
         if not self.faults.delay_ms:
             return succeed(body)
