--- a/foxtailproxy/constraints/evacuation.py
+++ b/foxtailproxy/constraints/evacuation.py
@@ -131,7 +131,12 @@
                 self._hold(names, source)
             return
         missing = self._evacuated - names
+        # Peers must also hear of an evacuation that was held and has been requested again.
+        is_news = names != self._evacuated
         self.version, self._evacuated = version, names
+        if is_news:
+            self._news_ms = self._clock.now_ms()
+            self._on_news()
         self._hold(missing if self._era.grace_left_ms else frozenset(), source)
 
     def _hold(self, names: frozenset[str], source: str) -> None:
@@ -139,6 +144,7 @@
         self._held = (self._held | names) - self._evacuated
         if self._held and (self._release_timer is None or not self._release_timer.active()):
             log.warning("evacuations_held", held=",".join(sorted(self._held)), source=source)
+            self._on_news()
             self._release_timer = self._clock.call_later(self._era.grace_left_ms, self._release)
         self._apply(source)
 
@@ -165,7 +171,6 @@
         self.in_force = in_force
         self._news_ms = self._clock.now_ms()
         self._on_changed(in_force)
-        self._on_news()
 
 
 def _data_center_of(path: str) -> str:
--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -159,9 +159,22 @@
         self._schedule_push(True)
 
     def send_state(self, members: list[MemberRecord]) -> None:
-        """Send a few peers at once what each packet carries: the version, and a lost store."""
+        """Send a few peers at once what each packet carries: the version, and a lost store.
+
+        Without the store, a node of another data centre is asked as well, which may know more.
+        """
         for member in members:
             self.socket.send(member, self.socket.build_packet(PacketKind.push))
+        if self._listener.store_lost():
+            self._ask_far_peer()
+
+    def _ask_far_peer(self) -> None:
+        """Ping a node of another data centre, whose answer tells what it knows."""
+        data_center = self._table.local_record.data_center
+        far_peers = [peer for peer in self._table.live_peers() if peer.data_center != data_center]
+        if far_peers:
+            packet = self.socket.build_packet(PacketKind.ping, self.socket.next_sequence())
+            self.socket.send(self._rng.choice(far_peers), packet)
 
     def _schedule_push(self, has_new_update: bool) -> None:
         self._has_new_update = self._has_new_update or has_new_update
