--- a/foxtailproxy/tests/steps/store.py
+++ b/foxtailproxy/tests/steps/store.py
@@ -178,6 +178,14 @@
     if event == "the history was dropped before":
         fixture.call_in_reactor(fixture.put, "config/main", 7)
         fixture.call_in_reactor(store.compact)
+    if event == "it was removed and is back":
+        fixture.call_in_reactor(store.remove, "config", "main")
+        fixture.call_in_reactor(fixture.put, "config/main", 3)
+    if event == "it was changed and is gone":
+        fixture.call_in_reactor(fixture.put, "config/main", 3)
+        fixture.call_in_reactor(store.remove, "config", "main")
+    if event == "the store has been restored":
+        fixture.call_in_reactor(store.restore, {}, revision - 1)
     twisted_reactor: Any = reactor
     if event in actions:
         twisted_reactor.callFromThread(twisted_reactor.callLater, 0.2, actions[event])
@@ -228,6 +236,41 @@
     assert context.live.config_sync.version()[0] == generation, context.live.config_sync.version()
 
 
+@when("the store takes a copy, config/main becomes 2, and the store comes back from its copy")
+def step_restore(context: Any) -> None:
+    fixture = context.live
+    fixture.wait_for(fixture.client.read("config/main"))
+    store = fixture.standin.store
+    copied = (dict(store.by_path), store.revision)
+    fixture.call_in_reactor(fixture.put, "config/main", 2)
+    fixture.call_in_reactor(store.restore, *copied)
+
+
+@then("the client notices one rise of the era, and reads value {value} in it")
+def step_era(context: Any, value: str) -> None:
+    fixture = context.live
+    for _ in range(2):
+        listing = fixture.wait_for(fixture.client.list_objects("config")).ok
+        assert (listing.era, [item.value for item in listing.objects]) == (2, [value]), listing
+    era = fixture.client.era
+    assert (era.number, era.rises) == (2, 1), era
+
+
+@when("the store comes back from a copy, and generation {generation:d} is written")
+def step_restore_and_write(context: Any, generation: int) -> None:
+    fixture = context.live
+    store = fixture.standin.store
+
+    def restore_and_write() -> None:
+        store.restore(store.by_path, store.revision)
+        # The revision of the first write is one that the node knows from the era before.
+        store.revision -= 1
+        fixture.put("config/main", json.loads(config_text(generation)))
+
+    fixture.call_in_reactor(fixture.put, "config/other", 1)
+    fixture.call_in_reactor(restore_and_write)
+
+
 @when("the history is dropped and generation {generation:d} is written")
 def step_drop_history(context: Any, generation: int) -> None:
     fixture = context.live
--- a/foxtailproxy/tests/store.feature
+++ b/foxtailproxy/tests/store.feature
@@ -58,6 +58,21 @@
       | the history was dropped before | HistoryGone      |
       | the history is dropped         | Unreachable      |
       | the object does not change     | nothing          |
+      | it was removed and is back     | changed to 3     |
+      | it was changed and is gone     | removed          |
+      | the store has been restored    | HistoryGone      |
+
+  # Guards against answers of two eras that count as one state.
+  Scenario: A restore from an older copy begins another era, in which what was written since is gone
+    Given the object config/main with value 1
+    When the store takes a copy, config/main becomes 2, and the store comes back from its copy
+    Then the client notices one rise of the era, and reads value 1 in it
+
+  # Guards against a watcher that goes on from a revision of the era before.
+  Scenario: A configuration that is written after a restore is adopted
+    Given a node's configuration from the store at generation 3
+    When the store comes back from a copy, and generation 5 is written
+    Then the node has generation 5 within 3000 ms
 
   Scenario: A configuration is read again after the history is gone
     Given a node's configuration from the store at generation 3
