Play an evacuation and restores of the store in the soak

Cause: the soak had neither as a fault. The fleet of the soak and of the live features did not start at: the template of the settings has parts that depend on values which the stand-in does not have. The stand-in leaves out the optional parts of the template.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,9 +13,12 @@
 
 from soak.callers import Callers
 from soak.checks import RECOVERY_PATH, Observations, find_violations, read_ledger
+from soak.constraints import EVACUATED, Evacuation, StoreRestore, make_constraint_faults
 from soak.plan import Fault, FaultInjector, begin_fault, end_fault, make_fault_plan
 from standins.platform_fleet import HOST_BY_SERVICE, PlatformFleet
 
+AnyFault = Fault | Evacuation | StoreRestore
+
 WARM_UP_S = 2.0
 """Time under load before the first fault."""
 
@@ -50,7 +53,9 @@
         callers.start()
         try:
             time.sleep(WARM_UP_S)
-            _inject_faults(make_fault_plan(seed, duration_s, places), injector)
+            plan: list[AnyFault] = [*make_fault_plan(seed, duration_s, places)]
+            plan += make_constraint_faults(seed, duration_s)
+            _inject_faults(plan, injector)
             violations = _check_recovery(fleet)
         finally:
             callers.close()
@@ -59,14 +64,22 @@
         fleet.close()
     service_by_place = {place.name: place.service for place in fleet.machines}
     ledger = read_ledger(fleet.fleet.folder, service_by_place)
+    evacuated = {place.name for place in fleet.machines if place.data_center == EVACUATED}
     violations += find_violations(
-        Observations(callers.results, ledger, injector.node_fault_intervals, service_by_place)
+        Observations(
+            callers.results,
+            ledger,
+            injector.node_fault_intervals,
+            service_by_place,
+            evacuated,
+            injector.evacuated_interval,
+        )
     )
     answered = sum(result.status == 200 for result in callers.results)
     return SeedResult(seed, violations, len(callers.results), answered, str(fleet.fleet.folder))
 
 
-def _inject_faults(plan: list[Fault], injector: FaultInjector) -> None:
+def _inject_faults(plan: list[AnyFault], injector: FaultInjector) -> None:
     """Begin and end each fault of a plan at its time."""
     events = [(fault.at_s, True, fault) for fault in plan]
     events += [(fault.at_s + fault.duration_s, False, fault) for fault in plan]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,7 @@
     at_s: float
     service: str
     instance: str
+    place: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,7 @@
                         entry["at_s"],
                         service,
                         entry["instance"],
+                        place,
                     )
                 )
     return Ledger(runs, leave_acknowledged_s)
@@ -75,12 +77,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Observations:
-    """Input of the checks; `node_fault_intervals` holds when nodes were killed or paused."""
+    """Input of the checks; `node_fault_intervals` holds when nodes were killed or paused.
+
+    No run may begin at `evacuated_places` in the `evacuated_interval`.
+    """
 
     results: list[CallerResult]
     ledger: Ledger
     node_fault_intervals: list[tuple[str, float, float]]
     service_by_place: dict[str, str]
+    evacuated_places: set[str]
+    evacuated_interval: tuple[float, float]
 
     def overlaps_node_fault(self, result: CallerResult) -> bool:
         """Return whether the caller's node was killed or paused during a request or just before."""
@@ -105,6 +112,7 @@
             "no answer to a request that ran, without a fault of its node",
             _cut_connections(observations),
         ),
+        ("ran in an evacuated data centre", _evacuated_runs(observations)),
         ("answers too long after the deadline", _late_answers(observations)),
     ):
         violations += [f"{name}: {detail}" for detail in details]
@@ -161,6 +169,15 @@
     ]
 
 
+def _evacuated_runs(observations: Observations) -> list[str]:
+    start_s, end_s = observations.evacuated_interval
+    return [
+        f"{run.attempt_id} at {run.instance}, {run.at_s - start_s:.1f} s after the limit"
+        for run in observations.ledger.runs
+        if run.place in observations.evacuated_places and start_s < run.at_s < end_s
+    ]
+
+
 def _cut_connections(observations: Observations) -> list[str]:
     ran = {run.attempt_id for run in observations.ledger.runs}
     return [
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 from collections.abc import Callable
@@ -139,7 +140,7 @@
 
     `node_fault_intervals` holds the intervals in which nodes were killed or paused, so that the
     checks can attribute failed requests to them. `ending` holds the processes that are about to
-    exit.
+    exit. `evacuated_interval` is the time in which no run may begin in the evacuated data centre.
     """
 
     def __init__(self, fleet: PlatformFleet, now_s: Callable[[], float]) -> None:
@@ -148,6 +149,8 @@
         self.node_fault_intervals: list[tuple[str, float, float]] = []
         self.ending: set[str] = set()
         self.node_started_s: dict[str, float] = {}
+        self.evacuated_s: float | None = None
+        self.evacuated_interval = (math.inf, math.inf)
 
     def place(self, index: int) -> Machine:
         """Return a place by its index."""
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import re
 import tempfile
 import threading
 import time
@@ -23,6 +24,10 @@
 LOAD_PAUSE_S = 0.01
 
 
+OPTIONAL_SECTION = re.compile(r"\{\{#([^}]*)\}\}.*?\{\{/\1\}\}\n?")
+"""Part of the template that depends on a value which a deployment need not have."""
+
+
 @dataclass
 class RelayHandle:
     """Ports of a relay in front of a server; the relay injects network faults."""
@@ -145,7 +150,8 @@
             "bounds.budget_window_s": 10,
             "bounds.grace_s": STOP_GRACE_S,
         }
-        text = TEMPLATE.read_text(encoding="utf-8")
+        # The values that a deployment may leave out are left out here.
+        text = OPTIONAL_SECTION.sub("", TEMPLATE.read_text(encoding="utf-8"))
         for key, value in values.items():
             text = text.replace("{{" + key + "}}", str(value))
         # All nodes share one address here, so the template's fixed port would already be in use.
