--- a/foxtailproxy/metrics.py
+++ b/foxtailproxy/metrics.py
@@ -46,6 +46,7 @@
         self.retries = 0
         self.claims = 0
         self.authentications: Counter[str] = Counter()
+        self.no_allowed_target = 0
 
     def record(self, class_key: str, tenant: str, outcome: str, elapsed_ms: float) -> None:
         """Record the outcome and latency of a call."""
