Limit the requests to a cold upstream at the node beside it

An upstream that is cold after its start crashes at rates well above cold_per_s of its service, and nothing limited them: its node started calls in all slots. Load reports state slots, service time and wait of a target that takes calls at that rate, and twice the run time.

--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -11,10 +11,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from foxtailproxy.clock import MS_PER_SECOND
 from foxtailproxy.ejection import FailureRate
 from foxtailproxy.load import Load
 from foxtailproxy.outcome import NotRun, NotRunReason
 from foxtailproxy.speed import RunTimes, Slowness
+from foxtailproxy.target_side.cold_start import ColdStart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +41,8 @@
 class Ticket:
     """Request of a call for a slot; exactly one of its two callbacks is called, once.
 
-    `slowness` is the expected slowness of the target when the call started.
+    `slowness` is the expected slowness of the target when the call started, `sent_ms` the time at
+    which it was sent to the upstream.
     """
 
     call: Call
@@ -48,6 +51,7 @@
     arrived_ms: float = 0.0
     started_ms: float = -1.0
     slowness: float = 1.0
+    sent_ms: float = -1.0
 
     @property
     def running(self) -> bool:
@@ -115,6 +119,7 @@
         self.slowness = Slowness(clock)
         self.run_times = RunTimes(clock)
         self.failure_rate = FailureRate(clock)
+        self.cold = ColdStart(clock)
         self._clock = clock
         self._by_class: dict[str, ClassQueue] = {}
         self._running: set[Ticket] = set()
@@ -131,15 +136,16 @@
             # Decay while idle, so that a target that was slow a while ago is tried again.
             idle_ms = self._clock.now_ms() - self._last_ended_ms
             typical_ms *= 0.5 ** (idle_ms / TYPICAL_SERVICE_HALF_LIFE_MS)
+        slots, service_ms = self._reported_slots()
         return Load(
             len(self._running),
             self._queued,
-            self.slots,
-            self._service_ms,
+            slots,
+            service_ms,
             typical_ms,
-            self._wait_by_class() if self._queued else {},
+            self._wait_by_class() if self._full else {},
             self.run_times.usual_ms_by_class() if self.slowness.has_report else {},
-            self.slowness.latest if self.slowness.has_report else 0.0,
+            max(self.slowness.latest, self.cold.slowness) if self.slowness.has_report else 0.0,
             self.slowness.age_ms if self.slowness.has_report else 0.0,
             self.run_times.unreported_slowness() if self.slowness.has_report else 1.0,
             self.failure_rate.value(),
@@ -152,16 +158,32 @@
         wait_ms = self._expected_wait_ms(self._queue_of(call)) if self._full else 0.0
         return wait_ms + self.expected_run_ms(call)
 
+    def _reported_slots(self) -> tuple[int, float]:
+        """Return the slots and the mean service time in ms to report.
+
+        While starts are limited, they are those of a target that takes calls at that rate, so that
+        peers send no more.
+        """
+        rate_per_s = self.cold.start_rate_per_s() if self.cold.limiting else 0.0
+        if not rate_per_s or not self.slots:
+            return self.slots, self._service_ms
+        interval_ms = MS_PER_SECOND / rate_per_s
+        slots = min(self.slots, max(1, round(self._service_ms / interval_ms)))
+        return slots, max(self._service_ms, slots * interval_ms)
+
     @property
     def _full(self) -> bool:
-        return self._queued > 0 or len(self._running) >= self.slots
+        return self._queued > 0 or len(self._running) >= self.slots or not self.cold.may_start()
 
     def _wait_by_class(self) -> dict[str, float]:
-        """Return the expected wait in ms of each class that has calls waiting, by class name."""
+        """Return the expected wait in ms of each class that has calls waiting, by class name.
+
+        While starts are limited, it is that of each class that ever had a call.
+        """
         return {
             key.rpartition("/")[2]: self._expected_wait_ms(queue)
             for key, queue in self._by_class.items()
-            if queue.size
+            if queue.size or self.cold.limiting
         }
 
     @property
@@ -196,6 +218,7 @@
         if ticket not in self._running:
             return
         self._running.discard(ticket)
+        self.cold.end(ticket)
         elapsed = self._clock.now_ms() - ticket.started_ms
         queue = self._queue_of(ticket.call)
         self.run_times.record(ticket.call.rule.name, elapsed, ticket.slowness)
@@ -241,7 +264,7 @@
     # Starting calls
 
     def _may_run(self, ticket: Ticket) -> bool:
-        if len(self._running) >= self.slots:
+        if len(self._running) >= self.slots or not self.cold.may_start():
             return False
         if ticket.call.crashed_upstreams and self._has_running_suspect():
             return False
@@ -275,8 +298,9 @@
 
     def _start(self, ticket: Ticket, queue: ClassQueue) -> None:
         ticket.started_ms = self._clock.now_ms()
-        ticket.slowness = self.slowness.expected()
+        ticket.slowness = self.expected_slowness()
         self._running.add(ticket)
+        self.cold.start(ticket)
         self._virtual_time_ms = max(self._virtual_time_ms, queue.virtual_time_ms)
         queue.virtual_time_ms = max(queue.virtual_time_ms, self._virtual_time_ms)
         queue.virtual_time_ms += queue.service_ms / queue.weight
@@ -320,6 +344,9 @@
         if wait_ms > self._max_useful_wait_ms(ticket.call) and not self._shed_lower_priority(
             rule.priority
         ):
+            if self.cold.limiting and self._cold_wait_ms(queue) >= wait_ms:
+                self.cold.rejections += 1
+                return NotRun(NotRunReason.COLD, int(wait_ms) + 1)
             return NotRun(NotRunReason.OVERLOADED, int(wait_ms) + 1)
         if queue.size >= rule.queue and not self._shed_longest_tenant(ticket, queue):
             return NotRun(NotRunReason.QUEUE_FULL, int(wait_ms) + 1)
@@ -342,12 +369,23 @@
         usual_ms = self.run_times.usual_ms(call.rule.name)
         if usual_ms is None:
             usual_ms = call.rule.objective_ms * DEFAULT_RUN_SHARE
-        return usual_ms * self.slowness.expected() * self.run_times.unreported_slowness()
+        return usual_ms * self.expected_slowness() * self.run_times.unreported_slowness()
+
+    def expected_slowness(self) -> float:
+        """Return the factor by which work is expected to take longer than usual now."""
+        return max(self.slowness.expected(), self.cold.slowness)
 
     def _expected_wait_ms(self, queue: ClassQueue) -> float:
+        share = self.slots * self._weight_share(queue)
+        wait_ms = queue.size * queue.service_ms / max(share, 0.01)
+        return max(wait_ms, self._cold_wait_ms(queue)) if self.cold.limiting else wait_ms
+
+    def _weight_share(self, queue: ClassQueue) -> float:
         total_weight = sum(q.weight for q in self._by_class.values() if q.size or q is queue)
-        share = self.slots * queue.weight / total_weight
-        return queue.size * queue.service_ms / max(share, 0.01)
+        return queue.weight / total_weight
+
+    def _cold_wait_ms(self, queue: ClassQueue) -> float:
+        return self.cold.wait_ms(min(self._queued, queue.size / self._weight_share(queue)))
 
     def _shed_lower_priority(self, priority: int) -> bool:
         """Shed a waiting call of the lowest-priority class below `priority`, if there is one.
--- a/foxtailproxy/dialect.py
+++ b/foxtailproxy/dialect.py
@@ -63,13 +63,15 @@
 class UpstreamMetadata:
     """The metadata that an upstream sends with its answer.
 
-    `instance` is the process that answered.
+    `instance` is the process that answered, `cold_ms` how much longer it stays cold after its
+    start; `None` if it does not tell.
     """
 
     not_run: bool = False
     load: UpstreamLoad | None = None
     instance: str = ""
     misdirected: bool = False
+    cold_ms: int | None = None
 
 
 class Dialect(Protocol):
--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -75,7 +75,12 @@
 """Not-run reasons that would be the same at another target."""
 
 OVERLOAD_REASONS = frozenset(
-    (NotRunReason.OVERLOADED, NotRunReason.QUEUE_FULL, NotRunReason.HELD_TOO_LONG)
+    (
+        NotRunReason.OVERLOADED,
+        NotRunReason.QUEUE_FULL,
+        NotRunReason.HELD_TOO_LONG,
+        NotRunReason.COLD,
+    )
 )
 """Reasons for which a target's node without room rejects a call."""
 
--- a/foxtailproxy/health_check.py
+++ b/foxtailproxy/health_check.py
@@ -14,6 +14,8 @@
 from foxtailproxy.http.messages import RequestHead
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from foxtailproxy.clock import Clock
     from foxtailproxy.dialect import Dialect, UpstreamMetadata
     from foxtailproxy.http.pool import ConnectionPool
@@ -37,15 +39,23 @@
 class HealthCheck:
     """Health and speed checks of the upstream by requests to `path`.
 
-    A speed check requests a new report of the upstream's slowness.
+    A speed check requests a new report of the upstream's slowness. `on_checked` gets the metadata
+    of each answer.
     """
 
-    def __init__(self, clock: Clock, dialect: Dialect, slowness: Slowness) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        dialect: Dialect,
+        slowness: Slowness,
+        on_checked: Callable[[UpstreamMetadata], None],
+    ) -> None:
         self.path = "/healthz"
         self.speed_checks = 0
         self._clock = clock
         self._dialect = dialect
         self._slowness = slowness
+        self._on_checked = on_checked
         self._waiters: list[Deferred[None]] | None = None
 
     async def check(self, pool: ConnectionPool) -> UpstreamMetadata | None:
@@ -108,4 +118,6 @@
                 connection.fail(MalformedResponse())
         finally:
             cancel_timer(timer)
-        return response.head.status, self._dialect.read_upstream_metadata(response.head)
+        metadata = self._dialect.read_upstream_metadata(response.head)
+        self._on_checked(metadata)
+        return response.head.status, metadata
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -130,6 +130,8 @@
         dialect = PlatformDialect(self._local_service) if uses_adapter else FoxtailDialect()
         self.target = Target(clock, reactor, self, dialect, upstream, self.settings.node.log_calls)
         self.target.knows_left_processes = False
+        self.target.admission.cold.terms = self.settings.cold_start
+        self.target.admission.cold.get_rate_per_s = self._cold_per_s
         self.router = Router(
             clock,
             self.table.local_record.node_id,
@@ -394,6 +396,7 @@
             settings, **{key: getattr(self.settings, key) for key in restart_only}
         )
         self.target.configure(settings.upstream)
+        self.target.admission.cold.terms = settings.cold_start
         self.router.links = settings.links
         if self.settings.platform.adapter:
             self.retry_budgets.set_limits(self._retry_limits())
@@ -572,6 +575,15 @@
         else:
             self.clock.call_later(MAX_RECORD_WAIT_MS, self._use_target)
 
+    def _cold_per_s(self) -> float | None:
+        """Return the rate of the upstream's service while cold; `None` without a configuration."""
+        rule_book = self.config_sync.rule_book
+        announcement = self.target.announcement
+        if rule_book is None or announcement is None:
+            return None
+        service = rule_book.service_by_name.get(announcement.service)
+        return 0.0 if service is None else service.cold_per_s
+
     def _use_target(self) -> None:
         """Use the upstream although the record of the earlier process may not have been read."""
         if not self.target.knows_left_processes:
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -42,6 +42,8 @@
 
 MS_PER_SECOND = 1000
 
+MAX_COLD_DIGITS = 15
+
 MAX_RETRY_WAIT_SHARE = 1 / 3
 """Largest `Retry-After` of a caller, as a share of the time that it has left."""
 
@@ -94,6 +96,7 @@
             load=parse_backend_load(messages.get_header_text(headers, header_names.BACKEND_LOAD)),
             instance=messages.get_header_text(headers, header_names.INSTANCE_ID),
             misdirected=misdirected,
+            cold_ms=parse_cold_ms(messages.get_header(headers, header_names.COLD_MS)),
         )
 
     def answers_attempt(self, head: messages.ResponseHead, attempt_id: str) -> bool:
@@ -155,6 +158,12 @@
         ), BodyStream.from_bytes(body)
 
 
+def parse_cold_ms(value: bytes | None) -> int | None:
+    """Parse how long a target stays cold, in ms; return `None` if it is missing or malformed."""
+    text = b"" if value is None else value.strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_COLD_DIGITS else None
+
+
 def parse_backend_load(value: str) -> UpstreamLoad | None:
     """Parse a target's load header; return `None` if it is missing or malformed."""
     parts = value.split(",")
--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+import math
+from typing import TYPE_CHECKING, Any, Protocol
 from urllib.parse import unquote
 
 import msgspec
@@ -25,6 +26,9 @@
 MAX_INSTANCE_LENGTH = 64
 """Maximum length of a target's id, as in an announcement."""
 
+MAX_COLD_MS = 600_000
+"""Longest cold time in a heartbeat that is passed on, in milliseconds."""
+
 INSTANCES_PATH = "/instances/"
 
 READY = "ready"
@@ -42,6 +46,8 @@
     sequence: int
     born: int = 0
     """Start time of the target in Unix milliseconds; distinguishes two processes with one id."""
+    cold_ms: Any = None
+    """How much longer the target stays cold; of any type, so that none makes it malformed."""
 
 
 class LeaveNotice(msgspec.Struct):
@@ -88,6 +94,7 @@
             "born_ms": heartbeat.born,
             "sequence": heartbeat.sequence,
             "leaving": heartbeat.state == DRAINING,
+            "cold_ms": _known_cold_ms(heartbeat.cold_ms),
         }
         return msgspec.convert(values, Announcement)
     except (msgspec.MsgspecError, ValueError) as error:
@@ -169,6 +176,14 @@
         return 0
 
 
+def _known_cold_ms(value: Any) -> int:
+    """Return the cold time in a heartbeat in ms; -1 if it is missing or malformed."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < math.inf:
+        return -1
+    return min(math.ceil(value), MAX_COLD_MS)
+
+
 def _respond(exchange: ServerExchange, status: int) -> None:
     headers = [(b"content-type", b"application/json")]
     head = messages.ResponseHead(status, messages.reason_phrase(status), headers)
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -97,7 +97,9 @@
         self.configure(settings)
         self._left_processes = LeftProcesses()
         self.admission = Admission(clock, 0)
-        self.health_check = HealthCheck(clock, dialect, self.admission.slowness)
+        self.health_check = HealthCheck(
+            clock, dialect, self.admission.slowness, self._health_checked
+        )
         self._clock = clock
         self._reactor = reactor
         self._listener = listener
@@ -108,7 +110,7 @@
             clock,
             listener,
             lambda: self._pool,
-            lambda: self.admission.reject_waiting(NotRunReason.TARGET_DOWN),
+            self._upstream_down,
         )
 
     def configure(self, settings: UpstreamSection) -> None:
@@ -117,6 +119,17 @@
         self._reuse_idle_ms = settings.reuse_idle_ms
         self._overdue_ms = settings.overdue_ms
 
+    def _upstream_down(self) -> None:
+        """Reject the waiting calls; the process that comes up again may be a new one."""
+        self.admission.cold.process_seen()
+        self.admission.reject_waiting(NotRunReason.TARGET_DOWN)
+
+    def _health_checked(self, metadata: UpstreamMetadata) -> None:
+        """Record whether the upstream is cold, if its current process answered a health check."""
+        current = self.announcement
+        if current is not None and metadata.instance == current.instance:
+            self.admission.cold.report(metadata.cold_ms)
+
     def close(self) -> None:
         """Stop the timers and close idle connections."""
         self._sweep_timer.close()
@@ -140,6 +153,7 @@
                 self.record_left_process(announcement.instance, announcement.born_ms)
             self._switch_process(announcement)
             return
+        self.admission.cold.report(announcement.cold_ms)
         self._update_announcement(current, announcement)
         if announcement.leaving:
             self.record_left_process(announcement.instance, announcement.born_ms)
@@ -191,6 +205,8 @@
             self._pool.replaced = self._pool.replaced or self._pool.is_at_address_of(pool)
         self._pool = pool
         previous, self.announcement = self.announcement, announcement
+        self.admission.cold.process_seen()
+        self.admission.cold.report(announcement.cold_ms)
         self.leaving = (
             self._left_processes.contains(announcement) if announcement.instance else False
         )
@@ -209,7 +225,14 @@
         if metadata is None or metadata.load is None or self.announcement is not None:
             return
         self.receive_announcement(
-            Announcement(service, address, port, metadata.load.slots, instance=metadata.instance)
+            Announcement(
+                service,
+                address,
+                port,
+                metadata.load.slots,
+                instance=metadata.instance,
+                cold_ms=-1 if metadata.cold_ms is None else metadata.cold_ms,
+            )
         )
 
     async def check_health(self, address: str, port: int) -> UpstreamMetadata | None:
@@ -346,7 +369,7 @@
 
     def expected_slowness(self) -> float:
         """Return the factor by which work at the upstream is expected to take longer than usual."""
-        return self.admission.slowness.expected()
+        return self.admission.expected_slowness()
 
     def is_idempotent(self, send_id: str) -> bool:
         """Return whether a send that waits or runs here is of an idempotent call."""
@@ -416,6 +439,12 @@
             self._release(active_call)
             connection.abort()
             return Error(rejection)
+        sent_ms = self.admission.cold.try_send(active_call.ticket)
+        if sent_ms is None:
+            self._release(active_call)
+            connection.abort()
+            return Error(NotRun(NotRunReason.COLD, int(self.admission.cold.wait_ms()) + 1))
+        active_call.ticket.sent_ms = sent_ms
         active_call.connection = connection
         active_call.announcement = announcement
         was_idle = connection.was_idle
@@ -457,6 +486,7 @@
         if metadata.load is not None:
             self._record_load(metadata.load)
         if metadata.misdirected:
+            self.admission.cold.withdraw_send(active_call.ticket.sent_ms)
             self._handle_replaced_upstream(active_call, metadata)
         if metadata.not_run:
             active_call.connection.abort()
--- /dev/null
+++ b/foxtailproxy/target_side/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the node beside a target that protect the target."""
--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -73,6 +73,24 @@
       | born as a fraction      | malformed         |
       | bytes that are no JSON  | malformed         |
 
+  # A heartbeat is not refused for its cold time: without it, the target would get no calls.
+  Scenario Outline: A heartbeat and a health answer with the cold time <text>
+    When a heartbeat and a health answer state the cold time <text>
+    Then the announcement has <announced> and the metadata <answered>
+
+    Examples:
+      | text    | announced | answered |
+      | (none)  | -1        | None     |
+      | 0       | 0         | 0        |
+      | 2500    | 2500      | 2500     |
+      | 2500.4  | 2501      | None     |
+      | -5      | -1        | None     |
+      | "soon"  | -1        | None     |
+      | null    | -1        | None     |
+      | true    | -1        | None     |
+      | [1]     | -1        | None     |
+      | 1e300   | 600000    | None     |
+
   Scenario Outline: Response to a call that fails with <failure> and has <left> ms left
     When a call with <left> ms left fails with <failure>
     Then the caller gets status <status> and Retry-After <after>
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -155,6 +155,25 @@
         context.heartbeat_result = "malformed"
 
 
+@when("a heartbeat and a health answer state the cold time {text}")
+def step_cold_time(context: Any, text: str) -> None:
+    heartbeat = json.dumps({name: HEARTBEAT[name] for name in HEARTBEAT if name != "cold_ms"})
+    headers = []
+    if text != "(none)":
+        heartbeat = heartbeat.replace("{", f'{{"cold_ms": {text}, ', 1)
+        headers.append((b"x-foxtailproxy-cold-ms", text.encode()))
+    context.announced_ms = decode_heartbeat("i-1", heartbeat.encode()).cold_ms
+    dialect = PlatformDialect(lambda: "kalender")
+    head = ResponseHead(200, b"OK", headers)
+    context.answered_ms = dialect.read_upstream_metadata(head).cold_ms
+
+
+@then("the announcement has {announced:d} and the metadata {answered}")
+def step_cold_time_read(context: Any, announced: int, answered: str) -> None:
+    assert context.announced_ms == announced, context.announced_ms
+    assert str(context.answered_ms) == answered, context.answered_ms
+
+
 @then("the heartbeat decodes as {result}")
 def step_heartbeat_result(context: Any, result: str) -> None:
     assert context.heartbeat_result == result, context.heartbeat_result
