Stop sending to an upstream that refuses calls although it has free slots

A target whose upstream answered not-run to every call while its health check passed kept being chosen: its load report showed free slots, and each refusal counted as a very short run time, which made it look fast. Refusals count in no run time, and those of an upstream that reports all slots in use neither in the failure rate; the local target loses its precedence by its failure rate.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -162,6 +162,8 @@
             "cold": self._node.target.admission.cold.cold,
             "starts_while_cold": self._node.target.admission.cold.starts_while_cold,
             "cold_rejections": self._node.target.admission.cold.rejections,
+            "refusing": self._node.target.refusals.refusing,
+            "refusing_rejections": self._node.target.refusals.rejections,
             "speed_checks": self._node.target.health_check.speed_checks,
             "retries": self._node.metrics.retries,
             **_packet_gauges("sent", self._node.gossip.socket.sent_by_kind),
--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -213,12 +213,17 @@
         self._queued += 1
         self._admit_waiting()
 
-    def release(self, ticket: Ticket) -> None:
-        """Record the service time of a call that has ended, and pass its slot to the next call."""
+    def release(self, ticket: Ticket, ran: bool = True) -> None:
+        """Record the service time of a call that `ran`, and pass its slot to the next call."""
         if ticket not in self._running:
             return
         self._running.discard(ticket)
         self.cold.end(ticket)
+        if ran:
+            self._record_service_time(ticket)
+        self._admit_waiting()
+
+    def _record_service_time(self, ticket: Ticket) -> None:
         elapsed = self._clock.now_ms() - ticket.started_ms
         queue = self._queue_of(ticket.call)
         self.run_times.record(ticket.call.rule.name, elapsed, ticket.slowness)
@@ -227,7 +232,6 @@
         log_elapsed = math.log(max(elapsed, MIN_SERVICE_MS))
         self._mean_log_service += SERVICE_TIME_WEIGHT * (log_elapsed - self._mean_log_service)
         self._last_ended_ms = self._clock.now_ms()
-        self._admit_waiting()
 
     def dequeue(self, ticket: Ticket) -> bool:
         """Remove a waiting call; return `False` if it is running or has ended."""
--- a/foxtailproxy/commands/explain.py
+++ b/foxtailproxy/commands/explain.py
@@ -42,6 +42,8 @@
     NotRunReason.SEALED: "the sender had abandoned it before it arrived",
     NotRunReason.UNREACHABLE: "the target's node accepted no connection",
     NotRunReason.UPSTREAM_REFUSED: "the upstream rejected it",
+    NotRunReason.COLD: "the upstream was cold after its start, and its turn would come too late",
+    NotRunReason.REFUSING: "the upstream had rejected the calls before it in spite of free slots",
     NotRunReason.FASTER_ELSEWHERE: "handed back before it ran: another target would answer sooner",
     NotRunReason.QUARANTINED: "the same request had crashed upstreams",
     UnknownReason.UPSTREAM_LOST: "the connection to the upstream broke after the request was sent",
--- a/foxtailproxy/load_exchange.py
+++ b/foxtailproxy/load_exchange.py
@@ -204,9 +204,9 @@
         self._send(Purpose.load_answer, ANSWER_MARK + answer, address)
 
     def _answer_to(self, query: LoadQuery) -> LoadAnswer:
-        if not self._target.serves(query.service):
+        load = self._target.offered_load(query.service)
+        if load is None:
             return LoadAnswer(query.sequence, 0)
-        load = self._target.load()
         return LoadAnswer(
             query.sequence,
             load.slots,
--- a/foxtailproxy/outcome.py
+++ b/foxtailproxy/outcome.py
@@ -46,6 +46,7 @@
     NO_ALLOWED_TARGET = "no-allowed-target"
     EVACUATED = "evacuated"
     COLD = "cold"
+    REFUSING = "refusing"
 
 
 class UnknownReason(StrEnum):
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -246,7 +246,7 @@
         return (
             self._is_local_available(match, tried_ids)
             and not self.local_health.ejected
-            and self._local_margin_left_ms(match) >= 0
+            and self._local_margin_left_ms(match) >= self._local_failure_cost_ms(match)
         )
 
     def _is_local_available(self, match: Match, tried_ids: set[str]) -> bool:
@@ -318,8 +318,7 @@
         ]
         if others_include_local:
             other_times_ms.append(
-                self._expected_local_ms(match)
-                + failure_cost_ms(self._target.load().failure_rate, match)
+                self._expected_local_ms(match) + self._local_failure_cost_ms(match)
             )
         unsampled_ms = self.index.expectation_of(match.service.name).run_ms(name)
         if unsampled_ms and not other_times_ms:
@@ -485,13 +484,16 @@
         ):
             return best.health.ejected
         extra_ms = self._round_trip_ms(best) + self._cost_ms(best, match, request_bytes)
-        extra_ms -= failure_cost_ms(self._target.load().failure_rate, match)
+        extra_ms -= self._local_failure_cost_ms(match)
         return best.expected_ms(match.rule.name) + extra_ms + self._local_margin_left_ms(match) >= 0
 
     def _local_margin_left_ms(self, match: Match) -> float:
         """Return the local target's margin less the time expected there, in ms."""
         return match.service.local_margin_ms - self._expected_local_ms(match)
 
+    def _local_failure_cost_ms(self, match: Match) -> float:
+        return failure_cost_ms(self._target.load().failure_rate, match)
+
     def _usual_local_ms(self, match: Match) -> float:
         return self._target.load().usual_ms_by_class.get(match.rule.name, 0.0)
 
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -42,6 +43,7 @@
     reached_upstream,
 )
 from foxtailproxy.target_policy import RUN_AT_ONCE
+from foxtailproxy.target_side.refusals import RefusalGuard
 from foxtailproxy.upstream_process import LeftProcesses, UpstreamProcess, is_stale, same_process
 
 if TYPE_CHECKING:
@@ -65,7 +67,8 @@
     """Call that waits at the target or runs.
 
     `announcement` is that of the process to which the call was sent. `overdue` tells whether the
-    latest check for passed deadlines found that its deadline had passed.
+    latest check for passed deadlines found that its deadline had passed, `upstream_full` whether
+    the upstream refused the call with all its slots in use.
     """
 
     call: Call
@@ -74,6 +77,7 @@
     connection: ClientConnection | None = None
     cancelled: bool = False
     overdue: bool = False
+    upstream_full: bool = False
 
 
 class Target:
@@ -97,6 +101,7 @@
         self.configure(settings)
         self._left_processes = LeftProcesses()
         self.admission = Admission(clock, 0)
+        self.refusals = RefusalGuard(clock)
         self.health_check = HealthCheck(
             clock, dialect, self.admission.slowness, self._health_checked
         )
@@ -205,6 +210,7 @@
             self._pool.replaced = self._pool.replaced or self._pool.is_at_address_of(pool)
         self._pool = pool
         previous, self.announcement = self.announcement, announcement
+        self.refusals.reset()
         self.admission.cold.process_seen()
         self.admission.cold.report(announcement.cold_ms)
         self.leaving = (
@@ -284,26 +290,46 @@
     def serves(self, service: str) -> bool:
         """Return whether new calls of `service` may run.
 
-        None may before the processes that left are known: the current one may be among them.
+        None may while the upstream refuses calls, until the next trial call. None may before the
+        processes that left are known either: the current one may be among them.
         """
         announcement = self.announcement
         return (
             self.serving
+            and self.refusals.open
             and self.knows_left_processes
             and announcement is not None
             and announcement.service == service
         )
 
     def load(self) -> Load:
-        """Return the current load."""
-        return self.admission.load()
+        """Return the current load; without slots while the upstream refuses calls."""
+        load = self.admission.load()
+        return load if self.refusals.open else replace(load, slots=0)
+
+    def offered_load(self, service: str) -> Load | None:
+        """Return the load for a node that may send a call of `service`; `None` if it should not.
+
+        While the upstream refuses calls, one node at a time is offered a trial call, without the
+        earlier failures, for which it would not send any.
+        """
+        if not self.serves(service):
+            return None
+        if not self.refusals.refusing:
+            return self.load()
+        return replace(self.load(), failure_rate=0.0) if self.refusals.offer() else None
 
     async def run(self, call: Call) -> Outcome:
         """Run a call once a slot is free; return its outcome."""
         arrived_ms = self._clock.now_ms()
         active_calls: list[ActiveCall] = []
-        outcome = await self._admit_and_run(call, active_calls)
-        if reached_upstream(outcome):
+        if self.refusals.admit(call.send_id):
+            outcome = await self._admit_and_run(call, active_calls)
+            self.refusals.end(call.send_id)
+        else:
+            wait_ms = math.ceil(self.refusals.wait_ms)
+            outcome = Error(NotRun(NotRunReason.REFUSING, wait_ms))
+        if reached_upstream(outcome) and not (active_calls and active_calls[-1].upstream_full):
             self.admission.failure_rate.record(is_target_fault(outcome))
         if self._log_calls:
             ended_ms = self._clock.now_ms()
@@ -482,6 +508,10 @@
     def _handle_response(self, active_call: ActiveCall, response: ClientResponse) -> Outcome:
         metadata = self._dialect.read_upstream_metadata(response.head)
         assert active_call.connection is not None
+        if metadata.not_run:
+            self._handle_refusal(active_call, metadata)
+        else:
+            self.refusals.record_run()
         self._release_after_body(active_call, response)
         if metadata.load is not None:
             self._record_load(metadata.load)
@@ -498,6 +528,16 @@
             Answer(ResponseHead(response.head.status, response.head.reason, headers), response.body)
         )
 
+    def _handle_refusal(self, active_call: ActiveCall, metadata: UpstreamMetadata) -> None:
+        """Release the slot of a call that did not run, and count it if the upstream had room."""
+        self.admission.release(active_call.ticket, ran=False)
+        if metadata.misdirected:
+            return
+        load = metadata.load
+        active_call.upstream_full = load is not None and load.running + load.queued >= load.slots
+        if not active_call.upstream_full and self.refusals.record_refusal(active_call.call.send_id):
+            self.admission.reject_waiting(NotRunReason.REFUSING)
+
     def _record_load(self, load: UpstreamLoad) -> None:
         self.admission.slowness.record(load.slowness)
 
--- a/foxtailproxy/tests/steps/cold_start.py
+++ b/foxtailproxy/tests/steps/cold_start.py
@@ -76,7 +76,14 @@
     current = context.live.target.announcement
     context.live.target.receive_announcement(
         Announcement(
-            "kalender", "127.0.0.1", current.port, SLOTS, "i-1", 5, sequence, cold_ms=cold_ms
+            "kalender",
+            "127.0.0.1",
+            current.port,
+            SLOTS,
+            instance="i-1",
+            born_ms=5,
+            sequence=sequence,
+            cold_ms=cold_ms,
         )
     )
 
--- a/foxtailproxy/tests/steps/load_exchange.py
+++ b/foxtailproxy/tests/steps/load_exchange.py
@@ -34,6 +34,10 @@
         """Return whether the target takes calls of the service."""
         return self.serving and service == SERVICE
 
+    def offered_load(self, service: str) -> Load | None:
+        """Return the load if the target takes calls of the service."""
+        return self.load() if self.serves(service) else None
+
     def load(self) -> Load:
         """Return the load."""
         return Load(self.running, 0, SLOTS, 50.0, 50.0, {}, USUAL_MS_BY_CLASS, 1.0, 10.0)
