--- a/foxtailproxy/outcome.py
+++ b/foxtailproxy/outcome.py
@@ -47,6 +47,7 @@
     EVACUATED = "evacuated"
     COLD = "cold"
     CONFIGURATION_STALE = "configuration-stale"
+    REFUSING = "refusing"
 
 
 class UnknownReason(StrEnum):
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -42,6 +43,7 @@
     reached_upstream,
 )
 from foxtailproxy.target_policy import RUN_AT_ONCE
+from foxtailproxy.target_side.refusals import RefusalGuard
 from foxtailproxy.upstream_process import LeftProcesses, UpstreamProcess, is_stale, same_process
 
 if TYPE_CHECKING:
@@ -65,7 +67,8 @@
     """Call that waits at the target or runs.
 
     `announcement` is that of the process to which the call was sent. `overdue` tells whether the
-    latest check for passed deadlines found that its deadline had passed.
+    latest check for passed deadlines found that its deadline had passed, `upstream_full` whether
+    the upstream refused the call with all its slots in use.
     """
 
     call: Call
@@ -74,6 +77,7 @@
     connection: ClientConnection | None = None
     cancelled: bool = False
     overdue: bool = False
+    upstream_full: bool = False
 
 
 class Target:
@@ -98,7 +102,10 @@
         self.configure(settings)
         self._left_processes = LeftProcesses()
         self.admission = Admission(clock, 0)
-        self.health_check = HealthCheck(clock, dialect, self.admission.slowness)
+        self.refusals = RefusalGuard(clock)
+        self.health_check = HealthCheck(
+            clock, dialect, self.admission.slowness, self._health_checked
+        )
         self._clock = clock
         self._reactor = reactor
         self._listener = listener
@@ -109,7 +116,7 @@
             clock,
             listener,
             lambda: self._pool,
-            lambda: self.admission.reject_waiting(NotRunReason.TARGET_DOWN),
+            self._upstream_down,
         )
 
     def configure(self, settings: UpstreamSection) -> None:
@@ -118,6 +125,17 @@
         self._reuse_idle_ms = settings.reuse_idle_ms
         self._overdue_ms = settings.overdue_ms
 
+    def _upstream_down(self) -> None:
+        """Reject the waiting calls; the process that comes up again may be a new one."""
+        self.admission.cold.process_seen()
+        self.admission.reject_waiting(NotRunReason.TARGET_DOWN)
+
+    def _health_checked(self, metadata: UpstreamMetadata) -> None:
+        """Record whether the upstream is cold, if its current process answered a health check."""
+        current = self.announcement
+        if current is not None and metadata.instance == current.instance:
+            self.admission.cold.report(metadata.cold_ms)
+
     def close(self) -> None:
         """Stop the timers and close idle connections."""
         self._sweep_timer.close()
@@ -141,6 +159,7 @@
                 self.record_left_process(announcement.instance, announcement.born_ms)
             self._switch_process(announcement)
             return
+        self.admission.cold.report(announcement.cold_ms)
         self._update_announcement(current, announcement)
         if announcement.leaving:
             self.record_left_process(announcement.instance, announcement.born_ms)
@@ -192,6 +211,9 @@
             self._pool.replaced = self._pool.replaced or self._pool.is_at_address_of(pool)
         self._pool = pool
         previous, self.announcement = self.announcement, announcement
+        self.refusals.reset()
+        self.admission.cold.process_seen()
+        self.admission.cold.report(announcement.cold_ms)
         self.leaving = (
             self._left_processes.contains(announcement) if announcement.instance else False
         )
@@ -210,7 +232,14 @@
         if metadata is None or metadata.load is None or self.announcement is not None:
             return
         self.receive_announcement(
-            Announcement(service, address, port, metadata.load.slots, instance=metadata.instance)
+            Announcement(
+                service,
+                address,
+                port,
+                metadata.load.slots,
+                instance=metadata.instance,
+                cold_ms=-1 if metadata.cold_ms is None else metadata.cold_ms,
+            )
         )
 
     async def check_health(self, address: str, port: int) -> UpstreamMetadata | None:
@@ -271,27 +300,47 @@
     def serves(self, service: str) -> bool:
         """Return whether new calls of `service` may run.
 
-        None may before the processes that left are known: the current one may be among them.
+        None may while the upstream refuses calls, until the next trial call. None may before the
+        processes that left are known either: the current one may be among them.
         """
         announcement = self.announcement
         return (
             self.serving
             and not self.evacuated
+            and self.refusals.open
             and self.knows_left_processes
             and announcement is not None
             and announcement.service == service
         )
 
     def load(self) -> Load:
-        """Return the current load."""
-        return self.admission.load()
+        """Return the current load; without slots while the upstream refuses calls."""
+        load = self.admission.load()
+        return load if self.refusals.open else replace(load, slots=0)
+
+    def offered_load(self, service: str) -> Load | None:
+        """Return the load for a node that may send a call of `service`; `None` if it should not.
+
+        While the upstream refuses calls, one node at a time is offered a trial call, without the
+        earlier failures, for which it would not send any.
+        """
+        if not self.serves(service):
+            return None
+        if not self.refusals.refusing:
+            return self.load()
+        return replace(self.load(), failure_rate=0.0) if self.refusals.offer() else None
 
     async def run(self, call: Call) -> Outcome:
         """Run a call once a slot is free; return its outcome."""
         arrived_ms = self._clock.now_ms()
         active_calls: list[ActiveCall] = []
-        outcome = await self._admit_and_run(call, active_calls)
-        if reached_upstream(outcome):
+        if self.refusals.admit(call.send_id):
+            outcome = await self._admit_and_run(call, active_calls)
+            self.refusals.end(call.send_id)
+        else:
+            wait_ms = math.ceil(self.refusals.wait_ms)
+            outcome = Error(NotRun(NotRunReason.REFUSING, wait_ms))
+        if reached_upstream(outcome) and not (active_calls and active_calls[-1].upstream_full):
             self.admission.failure_rate.record(is_target_fault(outcome))
         if self._log_calls:
             ended_ms = self._clock.now_ms()
@@ -357,7 +406,7 @@
 
     def expected_slowness(self) -> float:
         """Return the factor by which work at the upstream is expected to take longer than usual."""
-        return self.admission.slowness.expected()
+        return self.admission.expected_slowness()
 
     def is_idempotent(self, send_id: str) -> bool:
         """Return whether a send that waits or runs here is of an idempotent call."""
@@ -431,6 +480,12 @@
             self._release(active_call)
             connection.abort()
             return Error(rejection)
+        sent_ms = self.admission.cold.try_send(active_call.ticket)
+        if sent_ms is None:
+            self._release(active_call)
+            connection.abort()
+            return Error(NotRun(NotRunReason.COLD, int(self.admission.cold.wait_ms()) + 1))
+        active_call.ticket.sent_ms = sent_ms
         active_call.connection = connection
         active_call.announcement = announcement
         was_idle = connection.was_idle
@@ -468,10 +523,15 @@
     def _handle_response(self, active_call: ActiveCall, response: ClientResponse) -> Outcome:
         metadata = self._dialect.read_upstream_metadata(response.head)
         assert active_call.connection is not None
+        if metadata.not_run:
+            self._handle_refusal(active_call, metadata)
+        else:
+            self.refusals.record_run()
         self._release_after_body(active_call, response)
         if metadata.load is not None:
             self._record_load(metadata.load)
         if metadata.misdirected:
+            self.admission.cold.withdraw_send(active_call.ticket.sent_ms)
             self._handle_replaced_upstream(active_call, metadata)
         if metadata.not_run:
             active_call.connection.abort()
@@ -483,6 +543,16 @@
             Answer(ResponseHead(response.head.status, response.head.reason, headers), response.body)
         )
 
+    def _handle_refusal(self, active_call: ActiveCall, metadata: UpstreamMetadata) -> None:
+        """Release the slot of a call that did not run, and count it if the upstream had room."""
+        self.admission.release(active_call.ticket, ran=False)
+        if metadata.misdirected:
+            return
+        load = metadata.load
+        active_call.upstream_full = load is not None and load.running + load.queued >= load.slots
+        if not active_call.upstream_full and self.refusals.record_refusal(active_call.call.send_id):
+            self.admission.reject_waiting(NotRunReason.REFUSING)
+
     def _record_load(self, load: UpstreamLoad) -> None:
         self.admission.slowness.record(load.slowness)
 
