Give two steps wordings that no other step matches

Cause: behave matched the step of customers for the faults with the wording of two older steps, and refused a step of refusals as ambiguous. The checks are unchanged.

--- a/foxtailproxy/tests/customers.feature
+++ b/foxtailproxy/tests/customers.feature
@@ -47,7 +47,7 @@
     Given a node with the platform dialect and no customers
     When a request to the bound route arrives with authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
     Then the caller gets status 200
-    And the upstream gets authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
+    And the upstream gets the headers authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
     And the call's tenant is t
 
   # Guards against 401 from a node that does not know which keys there are.
@@ -114,7 +114,7 @@
   # Guards against nodes that accept withdrawn keys although they cannot know of a newer version.
   Scenario Outline: Of 12 nodes with fail-closed <setting>, <nodes> reject after <fault>
     Given 12 nodes with the platform's configuration, and fail-closed <setting>
-    When <fault>, and <ms> ms pass
+    When the fault is <fault>, and after it <ms> ms pass
     Then <nodes> nodes reject requests that need a key
 
     Examples:
@@ -150,7 +150,7 @@
 
   Scenario: A key is withdrawn while both watchers have lost the store
     Given 6 nodes with the platform's configuration, and fail-closed on
-    When the store is cut off from 2, and 0 ms pass
+    When the fault is the store is cut off from 2, and after it 0 ms pass
     And the key of version 7 is withdrawn by version 8, and the store answers
     Then all nodes know just the key of version 8 within 2500 ms
     And 0 nodes reject requests that need a key
--- a/foxtailproxy/tests/steps/customers.py
+++ b/foxtailproxy/tests/steps/customers.py
@@ -242,7 +242,7 @@
     assert not any(key == b"authorization" or b"Bearer" in value for key, value in sent), sent
 
 
-@then("the upstream gets {headers}")
+@then("the upstream gets the headers {headers}")
 def step_upstream_gets(context: Any, headers: str) -> None:
     sent = context.node.dialect.upstream_headers(context.node.calls[0], 500, "i-1")
     for header in headers.split(", "):
@@ -372,7 +372,7 @@
         node.link.set_fault("cut off")
 
 
-@when("{fault}, and {ms:d} ms pass")
+@when("the fault is {fault}, and after it {ms:d} ms pass")
 def step_fault(context: Any, fault: str, ms: int) -> None:
     nodes = context.nodes
     if fault == "one node is cut off from all":
