--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -282,6 +282,72 @@
     """
     Time after SIGTERM at which this process is killed, in seconds; a shutdown ends before it. 0 where the process is not killed.
     """
+    memory_mb: Annotated[
+        float,
+        Meta(
+            description="Memory of this instance, in megabytes; 0 where it is not known, and the limits that follow from it are those of 256.",
+            ge=0.0,
+            le=1048576.0,
+        ),
+    ] = 0
+    """
+    Memory of this instance, in megabytes; 0 where it is not known, and the limits that follow from it are those of 256.
+    """
+    max_fds: Annotated[
+        float,
+        Meta(
+            description="Descriptors that this process may open; 0 where it is not known. The limit of the operating system applies too.",
+            ge=0.0,
+            le=1048576.0,
+        ),
+    ] = 0
+    """
+    Descriptors that this process may open; 0 where it is not known. The limit of the operating system applies too.
+    """
+    header_lines: Annotated[
+        int,
+        Meta(
+            description="Largest number of header lines of a request; a request with more gets 431.",
+            ge=16,
+            le=262144,
+        ),
+    ] = 8192
+    """
+    Largest number of header lines of a request; a request with more gets 431.
+    """
+    request_memory_bytes: Annotated[
+        int,
+        Meta(
+            description="Largest memory for the decoded head of one request, in bytes; a request that takes more gets 431.",
+            ge=65536,
+            le=67108864,
+        ),
+    ] = 4194304
+    """
+    Largest memory for the decoded head of one request, in bytes; a request that takes more gets 431.
+    """
+    unfinished_percent: Annotated[
+        int,
+        Meta(
+            description="Share of memory_mb that all unfinished requests of clients may hold, as a percentage; above it, the connections that hold the most are closed.",
+            ge=1,
+            le=80,
+        ),
+    ] = 20
+    """
+    Share of memory_mb that all unfinished requests of clients may hold, as a percentage; above it, the connections that hold the most are closed.
+    """
+    client_fd_percent: Annotated[
+        int,
+        Meta(
+            description="Share of max_fds that the connections of clients may use, as a percentage; above it, the connection that was silent for the longest time is closed. The others are for the upstream, other nodes, the store and files.",
+            ge=1,
+            le=95,
+        ),
+    ] = 70
+    """
+    Share of max_fds that the connections of clients may use, as a percentage; above it, the connection that was silent for the longest time is closed. The others are for the upstream, other nodes, the store and files.
+    """
 
 
 class UpstreamSection(Struct):
--- a/foxtailproxy/tests/live.py
+++ b/foxtailproxy/tests/live.py
@@ -53,10 +53,13 @@
     folder: Any = field(default_factory=tempfile.TemporaryDirectory)
     results: list[RequestResult] = field(default_factory=list)
     event_times_s: dict[str, float] = field(default_factory=dict)
+    limits: dict[str, Any] = field(default_factory=dict)
+    node_settings: dict[str, Any] = field(default_factory=dict)
 
     def start(self, count: int, **fleet_rules: Any) -> None:
         """Start the platform and `count` nodes with an upstream each."""
-        self.fleet = Fleet(Path(self.folder.name))
+        folder = Path(self.folder.name)
+        self.fleet = Fleet(folder, limits=self.limits, node_settings=self.node_settings)
         self.fleet.start_platform()
         for number in range(count):
             self.fleet.add_member(f"n{number}", *LOCATIONS[number % len(LOCATIONS)], "kalender")
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -109,11 +109,12 @@
 class Fleet:
     """Processes of one run, with their settings and logs in `folder`.
 
-    `limits` holds the keys of the nodes' `[limits]` section.
+    `limits` holds the keys of the nodes' `[limits]` section, `node_settings` more of `[node]`.
     """
 
     folder: Path
     limits: dict[str, Any] = field(default_factory=dict)
+    node_settings: dict[str, Any] = field(default_factory=dict)
     members: list[Member] = field(default_factory=list)
     process_by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     platform_port: int = 0
@@ -165,13 +166,14 @@
     def start_node(self, member: Member, seeds: str = "") -> None:
         """Write the settings file of a node and start the node."""
         limits = "\n".join(f"{key} = {value}" for key, value in self.limits.items())
+        more = "".join(f"{key} = {value}\n" for key, value in self.node_settings.items())
         settings = self.folder / f"{member.node_id}.ini"
         settings.write_text(
             f"[node]\nnode_id = {member.node_id}\nregion = {member.region}\n"
             f"data_center = {member.data_center}\naddress = {ADDRESS}\n"
             f"caller_port = {member.caller_port}\npeer_port = {member.peer_port}\n"
             f"admin_port = {member.admin_port}\ngossip_port = {member.gossip_port}\n"
-            f"log_calls = {str(self.log_calls).lower()}\n"
+            f"log_calls = {str(self.log_calls).lower()}\n{more}"
             f"[platform]\nurl = {self.platform_url}\n[peers]\nseeds = {seeds}\n[limits]\n{limits}\n"
         )
         self._spawn(member.node_id, "foxtailproxy", "node", str(settings))
