Keep the memory and descriptors of a node bounded whatever clients send

Cause: nothing limited what the unfinished requests of all clients hold together. Chunks of one byte took eight bytes each in a list, the headers of an answered request stayed with its idle connection, and what a closed connection held waited for the garbage collector in cycles through tracebacks and callbacks. A call whose answer was sent before its body was complete kept its slot for overdue_ms. Pipelined requests were served behind answers that the client did not read.

Change: the ports for clients share a MemoryAccount, which closes the connections that hold the most, and a ConnectionLimit, which closes the one that is silent for the longest time. Bodies are joined as they arrive, must progress within idle_time_ms, and free what they hold with their connection. header_lines and request_memory_bytes limit one request; no request with a head of 32,768 bytes meets the defaults. The fleet on the platform renders its optional settings, which it had failed on since the template got them.

--- a/foxtailproxy/http/body.py
+++ b/foxtailproxy/http/body.py
@@ -56,8 +56,7 @@
         "error",
         "source",
         "on_done",
-        "_chunks",
-        "_buffered_bytes",
+        "_buffer",
         "_sink",
         "_buffer_waiter",
     )
@@ -69,8 +68,8 @@
         self.error: HttpError | None = None
         self.source = source
         self.on_done: Callable[[], None] | None = None
-        self._chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        # One object for all chunks: a list of small ones takes many times their size.
+        self._buffer: bytes | bytearray = b""
         self._sink: BodySink | None = None
         self._buffer_waiter: tuple[int, Deferred[bool]] | None = None
 
@@ -89,13 +88,25 @@
         if self._sink is not None:
             self._sink.body_data(data)
             return
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffer_waiter is not None and self._buffered_bytes > self._buffer_waiter[0]:
+        self._append(data)
+        if self._buffer_waiter is not None and self.buffered_bytes > self._buffer_waiter[0]:
             self._resolve_waiter(False)
-        if self._buffer_waiter is None and self._buffered_bytes > HIGH_WATER_BYTES:
+        if self._buffer_waiter is None and self.buffered_bytes > HIGH_WATER_BYTES:
             self.pause()
 
+    def _append(self, data: bytes) -> None:
+        if not self._buffer:
+            self._buffer = data
+            return
+        if isinstance(self._buffer, bytes):
+            self._buffer = bytearray(self._buffer)
+        self._buffer += data
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that have not been passed to a sink."""
+        return len(self._buffer)
+
     def end(self) -> None:
         """Mark the body as complete."""
         # The source goes on to what follows, also while nothing takes the end of this body.
@@ -120,6 +131,14 @@
             deferred.errback(error)
         self._notify_done()
 
+    def abandon(self, error: HttpError) -> None:
+        """Fail the body unless it is complete, and free what it buffers."""
+        self.fail(error)
+        # Its traceback refers to what waited for the body, and that to the body.
+        error.__traceback__ = None
+        if not self.ended:
+            self._buffer = b""
+
     def buffer(self, limit: int) -> Deferred[bool]:
         """Wait until the body is complete (`True`) or exceeds `limit` bytes (`False`).
 
@@ -130,8 +149,8 @@
             failed.errback(self.error)
             return failed
         if self.ended:
-            return succeed(self._buffered_bytes <= limit)
-        if self._buffered_bytes > limit or (self.length is not None and self.length > limit):
+            return succeed(self.buffered_bytes <= limit)
+        if self.buffered_bytes > limit or (self.length is not None and self.length > limit):
             return succeed(False)
         deferred: Deferred[bool] = Deferred()
         self._buffer_waiter = (limit, deferred)
@@ -139,7 +158,9 @@
 
     def buffered(self) -> bytes:
         """Return the bytes that have not been passed to a sink."""
-        return b"".join(self._chunks)
+        if not isinstance(self._buffer, bytes):
+            self._buffer = bytes(self._buffer)
+        return self._buffer
 
     @property
     def attached(self) -> bool:
@@ -148,16 +169,15 @@
 
     def truncate(self, size: int) -> None:
         """Discard the bytes after the first `size`; no sink may be attached."""
-        kept = self.buffered()[:size]
-        self._chunks = [kept]
-        self.size = self._buffered_bytes = len(kept)
+        self._buffer = self.buffered()[:size]
+        self.size = len(self._buffer)
 
     def attach(self, sink: BodySink) -> None:
         """Pass the buffered bytes, and all that follow, to `sink`."""
         self._sink = sink
-        chunks, self._chunks, self._buffered_bytes = self._chunks, [], 0
-        for chunk in chunks:
-            sink.body_data(chunk)
+        buffered, self._buffer = self.buffered(), b""
+        if buffered:
+            sink.body_data(buffered)
         if self.ended:
             sink.body_end()
         elif self.error is not None:
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -7,6 +7,7 @@
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import BodyTooLarge, ConnectionLost, HttpError
+from foxtailproxy.http.memory import EXCHANGE_BYTES, head_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,12 +38,23 @@
         self.on_aborted: Callable[[], None] | None = None
         self.on_response_failed: Callable[[HttpError], None] | None = None
         self._connection = connection
+        self._request_bytes = EXCHANGE_BYTES + head_bytes(head.headers)
         self._chunked = False
         self._has_body = True
         self._response_body: BodyStream | None = None
         self._remaining_bytes: int | None = None
         self._queued_response: tuple[messages.ResponseHead, BodyStream] | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request, and what waits of its response, takes, in bytes."""
+        held = self._request_bytes + self.body.buffered_bytes
+        if self._response_body is not None:
+            held += self._response_body.buffered_bytes
+        if self._queued_response is not None:
+            held += self._queued_response[1].buffered_bytes
+        return held
+
     @property
     def client_left(self) -> bool:
         """Whether the client has closed the connection, also if that is still to be read.
@@ -148,6 +160,9 @@
 
     def _finish(self) -> None:
         self.response_finished = True
+        # These refer to the exchange, which is freed at once without them.
+        self.on_aborted = self.on_response_failed = None
+        self._response_body = None
         self._connection.exchange_finished(self)
 
     def body_failed(self, error: HttpError) -> None:
@@ -193,10 +208,11 @@
     def connection_lost(self) -> None:
         """Abort the exchange after the client has disconnected."""
         self.aborted = True
-        self.body.fail(ConnectionLost())
+        self.body.abandon(ConnectionLost())
         if self._response_body is not None:
             self._response_body.resume()
         if self._queued_response is not None:
             self._queued_response[1].attach(DiscardSink())
-        if self.on_aborted is not None and not self.response_finished:
-            self.on_aborted()
+        on_aborted, self.on_aborted = self.on_aborted, None
+        if on_aborted is not None and not self.response_finished:
+            on_aborted()
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -15,13 +15,17 @@
 
 from foxtailproxy.clock import WorkTimer
 from foxtailproxy.http import messages
+from foxtailproxy.http.errors import ConnectionLost
 from foxtailproxy.http.exchange import ServerExchange
+from foxtailproxy.http.memory import HEADER_LINE_BYTES
 from foxtailproxy.http.transport import (
+    abort_now,
     end_writing_once_sent,
     has_unacknowledged_bytes,
     has_unsent_bytes,
     is_ended_by_peer,
     ms_since_last_arrival,
+    unsent_bytes,
     write_now,
 )
 
@@ -29,6 +33,7 @@
     from collections.abc import Awaitable, Callable
 
     from foxtailproxy.clock import Clock
+    from foxtailproxy.http.client_bounds import ClientBounds
 
 log = structlog.get_logger()
 
@@ -48,12 +53,17 @@
 
 @dataclass(slots=True)
 class ServerLimits:
-    """Limits of one connection; sizes in bytes, times in milliseconds."""
+    """Limits of one connection; sizes in bytes, times in milliseconds.
+
+    `request_memory_bytes` is the memory that the decoded head of one request may take.
+    """
 
     header_bytes: int
     body_bytes: int
     header_time_ms: int
     idle_time_ms: int
+    header_lines: int = 8192
+    request_memory_bytes: int = 4_194_304
 
 
 class RequestRejected(Exception):
@@ -71,7 +81,8 @@
 
     Responses are sent in the order of the requests, also the one that rejects an invalid request. A
     pipelined request for which `may_overlap` is true is served concurrently with the earlier ones,
-    if all of those are being served.
+    if all of those are being served. With `bounds`, the connection counts for the bounds of all
+    clients, which may close it, and a body must progress within the idle time.
     """
 
     transport: Any = None
@@ -82,8 +93,13 @@
         limits: ServerLimits,
         clock: Clock,
         may_overlap: Callable[[messages.RequestHead], bool],
+        bounds: ClientBounds | None = None,
     ) -> None:
         self.closing = False
+        self._bounds = bounds
+        self._reading = False
+        self._body_progressed = False
+        self._body_overhead_bytes = 0
         self._close_when_idle = False
         self._handler = handler
         self._may_overlap = may_overlap
@@ -113,11 +129,21 @@
         self.transport.registerProducer(self, True)
         self._start_timer(self.limits.header_time_ms)
         self.factory.register(self)
+        if self._bounds is not None:
+            self._bounds.connections.touch(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse data from the client; ignore what follows a rejected request."""
         if self._closed or self._rejected:
             return
+        self._reading = True
+        self._body_progressed = False
+        try:
+            self._parse(data)
+        finally:
+            self._reading = False
+
+    def _parse(self, data: bytes) -> None:
         was_in_head, was_in_body = self._in_head, self._receiving is not None
         self._heads_begun = 0
         try:
@@ -125,6 +151,8 @@
             # Bytes in front of a head do not count for it, but belong to an earlier request.
             if not was_in_body and self._heads_begun == (0 if was_in_head else 1):
                 self._check_head_size(len(data))
+            self._check_body_progress(len(data))
+            self._charge()
         except httptools.HttpParserUpgrade:
             self._reject(501, "upgrade-not-supported")
         except httptools.HttpParserCallbackError as error:
@@ -138,21 +166,74 @@
         """Abort the exchanges after the client has disconnected."""
         self._closed = True
         self.factory.connections.discard(self)
+        if self._bounds is not None:
+            self._bounds.connections.remove(self)
+            self._bounds.memory.release(self)
+        self._drop_exchanges()
+
+    def _drop_exchanges(self) -> None:
+        """Abort the exchanges and free what they hold."""
+        self._headers, self._url = [], b""
+        self._receiving = None
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
             exchange.connection_lost()
 
+    # Bounds for all clients
+
+    def shed(self) -> None:
+        """Close the connection and free what its requests hold."""
+        self._closed = True
+        self._lingers = False
+        if self._reading:
+            self._drop_exchanges()
+            self.transport.abortConnection()
+        else:
+            abort_now(self.transport)
+
+    @property
+    def waits_for_client(self) -> bool:
+        """Whether the client has to act next: to send, or to read a response."""
+        if not self._exchanges or self._receiving is not None:
+            return True
+        return has_unsent_bytes(self.transport)
+
+    def _charge(self) -> None:
+        """Report the memory that the requests hold, and that the client was active."""
+        if self._bounds is None or self._closed:
+            return
+        self._bounds.connections.touch(self)
+        self._charge_memory(self._bounds)
+
+    def _charge_memory(self, bounds: ClientBounds) -> None:
+        held = unsent_bytes(self.transport)
+        if self._in_head:
+            held += self._head_size + len(self._headers) * HEADER_LINE_BYTES
+        for exchange in self._exchanges:
+            held += exchange.held_bytes
+        if held:
+            bounds.memory.charge(self, held)
+        else:
+            bounds.memory.release(self)
+
     # Back-pressure: the transport is paused while there is at least one reason.
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Pause the response in progress while the client reads slowly."""
+        """Pause the response in progress, and further requests, while the client reads slowly."""
+        if self._bounds is not None:
+            self._pause("response")
         if self._exchanges:
             self._exchanges[0].pause_response()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Resume the response in progress."""
-        if self._exchanges:
+        """Resume the response in progress, or serve the next request."""
+        self._resume("response")
+        if not self._exchanges:
+            return
+        if self._exchanges[0].response_started:
             self._exchanges[0].resume_response()
+        else:
+            self._clock.call_later(0, self._serve_next)
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: the connection is closed, and `connectionLost` follows."""
@@ -199,6 +280,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; ignore trailers, which follow the complete head."""
         if self._receiving is None:
+            if len(self._headers) >= self.limits.header_lines:
+                raise RequestRejected(431, "too-many-headers")
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -207,7 +290,10 @@
             self._parser.get_method(), self._url, self._headers, self._parser.get_http_version()
         )
         length = self._check_head(head)
+        self._headers, self._url = [], b""
         exchange = ServerExchange(self, head)
+        if exchange.held_bytes > self.limits.request_memory_bytes:
+            raise RequestRejected(431, "header-too-large")
         exchange.unread_ms = ms_since_last_arrival(self.transport)
         exchange.keep_alive = self._parser.should_keep_alive()
         exchange.expects_continue = (
@@ -218,7 +304,11 @@
             exchange.body.end()
         self._receiving = exchange
         self._in_head = False
-        self._stop_timer()
+        self._body_progressed = True
+        if exchange.body.ended or self._bounds is None:
+            self._stop_timer()
+        else:
+            self._start_timer(self.limits.idle_time_ms)
         self._exchanges.append(exchange)
         if len(self._exchanges) > PIPELINE_LIMIT:
             self._pause("pipeline")
@@ -227,7 +317,9 @@
 
     def _may_serve_concurrently(self, exchange: ServerExchange) -> bool:
         """Return whether a request may be served before the earlier responses are sent."""
-        if self.closing or not exchange.body.ended:
+        if self.closing or not exchange.body.ended or "response" in self._pause_reasons:
+            return False
+        if self._bounds is not None and len(self._exchanges) > PIPELINE_LIMIT:
             return False
         earlier_being_served = all(
             other.serving for other in self._exchanges if other is not exchange
@@ -255,11 +347,28 @@
             return
         if exchange.body.size + len(data) > self.limits.body_bytes:
             raise RequestRejected(413, "body-too-large")
+        self._body_progressed = True
         exchange.body.feed(data)
 
+    def _check_body_progress(self, received: int) -> None:
+        """Restart the time for the body's next bytes; limit what is no body, such as trailers."""
+        if self._receiving is None:
+            self._body_overhead_bytes = 0
+            return
+        if self._body_progressed:
+            self._body_overhead_bytes = 0
+            if self._bounds is not None:
+                self._start_timer(self.limits.idle_time_ms)
+            return
+        self._body_overhead_bytes += received
+        if self._body_overhead_bytes > self.limits.header_bytes:
+            raise RequestRejected(431, "trailer-too-large")
+
     def on_message_complete(self) -> None:
         """Complete the request body."""
         exchange, self._receiving = self._receiving, None
+        if exchange is not None and exchange.body.length != 0:
+            self._stop_timer()
         if exchange is not None and not exchange.body.ended:
             exchange.body.end()
 
@@ -332,6 +441,11 @@
         """Serve the next request, wait for one, or close the connection."""
         if self._exchanges and self._exchanges[0] is exchange:
             self._exchanges.popleft()
+        if self._bounds is not None and not self._exchanges:
+            self._bounds.memory.release(self)
+        if not exchange.body.ended:
+            # What still takes the body waits for bytes that are not read any more.
+            exchange.body.abandon(ConnectionLost())
         if not exchange.keep_alive or not exchange.body.ended:
             self._close()
             return
@@ -346,6 +460,9 @@
     def _serve_next(self) -> None:
         if not self._exchanges or self._exchanges[0].response_started or self._closed:
             return
+        if "response" in self._pause_reasons:
+            # The next response would wait in memory behind the last one.
+            return
         if self._exchanges[0].serving:
             self._exchanges[0].send_queued_response()
         else:
@@ -392,6 +509,7 @@
         """
         self._closed = True
         self._lingers = True
+        self._receiving = None
         end_writing_once_sent(self.transport)
         self._linger(self._clock.now_ms())
 
@@ -418,14 +536,18 @@
 
     def check_timeout(self, now_ms: float) -> None:
         """Close the connection where its header or idle timeout has expired."""
+        if self._bounds is not None and self in self.factory.connections:
+            self._charge_memory(self._bounds)
         if self._lingers:
             self._linger(now_ms)
             return
         if not self._timeout_at_ms or now_ms < self._timeout_at_ms or self._closed:
             return
-        if self._in_head and self._pause_reasons:
-            # The client cannot complete the head while the connection is not read.
-            self._start_timer(self.limits.header_time_ms)
+        if self._pause_reasons and (self._in_head or self._receiving is not None):
+            # The client cannot complete the request while the connection is not read.
+            self._start_timer(
+                self.limits.header_time_ms if self._in_head else self.limits.idle_time_ms
+            )
             return
         if not self._timeout_passed:
             # Until the next check, bytes are read that arrived while the process was suspended.
@@ -433,6 +555,9 @@
             return
         if self._in_head:
             self._reject(408, "header-timeout")
+        elif self._receiving is not None:
+            log.info("request_stalled", received_bytes=self._receiving.body.size)
+            self.abort()
         else:
             self._close()
 
@@ -448,8 +573,10 @@
         limits: ServerLimits,
         clock: Clock,
         may_overlap: Callable[[messages.RequestHead], bool] = lambda head: False,
+        bounds: ClientBounds | None = None,
     ) -> None:
         self._may_overlap = may_overlap
+        self._bounds = bounds
         self.connections: set[ServerConnection] = set()
         self._handler = handler
         self._limits = limits
@@ -457,9 +584,13 @@
         self._check_timer = WorkTimer(clock, TIMEOUT_CHECK_INTERVAL_MS, self._check_timeouts)
         self._closing = False
 
-    def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
-        """Return a connection for the client at `addr`."""
-        connection = ServerConnection(self._handler, self._limits, self._clock, self._may_overlap)
+    def buildProtocol(self, addr: Any) -> ServerConnection | None:  # noqa: N802
+        """Return a connection for the client at `addr`, or `None` where it is closed at once."""
+        if self._bounds is not None and not self._bounds.connections.make_room():
+            return None
+        connection = ServerConnection(
+            self._handler, self._limits, self._clock, self._may_overlap, self._bounds
+        )
         connection.closing = self._closing
         connection.factory = self
         return connection
--- a/foxtailproxy/http/transport.py
+++ b/foxtailproxy/http/transport.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 import structlog
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.interfaces import IReadDescriptor
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -125,6 +125,23 @@
     return bool(getattr(transport, "dataBuffer", b"") or getattr(transport, "_tempDataBuffer", ()))
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return the number of bytes that were written and are still in the memory of this process."""
+    return len(getattr(transport, "dataBuffer", b"")) + getattr(transport, "_tempDataLen", 0)
+
+
+def abort_now(transport: Any) -> None:
+    """Abort a connection and free its descriptor; must not be called while it is being read.
+
+    `abortConnection` frees it in the next iteration of the reactor, before which many other
+    connections may be accepted or read.
+    """
+    if getattr(transport, "socket", None) is None:
+        transport.abortConnection()
+    else:
+        transport.connectionLost(Failure(ConnectionAborted()))
+
+
 def has_unacknowledged_bytes(transport: Any) -> bool:
     """Return whether the remote end has yet to acknowledge bytes that the kernel has for it."""
     get_handle = getattr(transport, "getHandle", None)
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -24,6 +24,7 @@
 from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.first_announcement import FirstAnnouncement
 from foxtailproxy.gossip import Gossip
+from foxtailproxy.http.client_bounds import client_bounds
 from foxtailproxy.http.server import ServerFactory, ServerLimits
 from foxtailproxy.http.transport import accept_waiting_and_close
 from foxtailproxy.lifecycle import LifecycleState, build_lifecycle
@@ -88,6 +89,9 @@
 """Time before the end of the grace period at which a shutdown stops waiting for calls, in
 milliseconds."""
 
+MAX_NODE_HEADER_LINES = 64
+"""Maximum number of header lines that nodes add to a request."""
+
 MAX_CRASH_REPORTS = 8
 """Maximum number of crash reports sent along with a comparison."""
 
@@ -102,6 +106,7 @@
         self.lifecycle = build_lifecycle(self.state)
         self.metrics = Metrics()
         self.quarantine = Quarantine(self.clock)
+        self.client_bounds = client_bounds(settings.limits)
         self._reactor = reactor
         self._ports: list[Any] = []
         self._platform_factories: list[ServerFactory] = []
@@ -206,10 +211,19 @@
             self.table.local_record.boot_id,
         )
         server_limits = ServerLimits(
-            limits.header_bytes, limits.body_bytes, limits.header_time_ms, limits.idle_time_ms
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_time_ms,
+            limits.idle_time_ms,
+            # Nodes add headers of their own to those of a caller.
+            limits.header_lines + MAX_NODE_HEADER_LINES,
         )
         self._caller_factory = ServerFactory(
-            self.caller_server.handle, server_limits, clock, self.caller_server.may_overlap
+            self.caller_server.handle,
+            self._caller_limits(fleet),
+            clock,
+            self.caller_server.may_overlap,
+            self.client_bounds,
         )
         self._peer_factory = ServerFactory(self.peer_server.handle, server_limits, clock)
 
@@ -290,7 +304,12 @@
         for address, handle in handlers.items():
             if address:
                 host, port = split_address(address)
-                factory = ServerFactory(handle, self._caller_limits(FleetRule()), self.clock)
+                factory = ServerFactory(
+                    handle,
+                    self._caller_limits(FleetRule()),
+                    self.clock,
+                    bounds=self.client_bounds,
+                )
                 self._platform_factories.append(factory)
                 self._ports.append(self._reactor.listenTCP(port, factory, interface=host))
 
@@ -395,6 +414,7 @@
         )
         self.target.configure(settings.upstream)
         self.router.links = settings.links
+        self.client_bounds.configure(settings.limits)
         if self.settings.platform.adapter:
             self.retry_budgets.set_limits(self._retry_limits())
         if self.config_sync.rule_book is not None:
@@ -592,6 +612,8 @@
             fleet.body_bytes or limits.body_bytes,
             fleet.header_time_ms or limits.header_time_ms,
             fleet.idle_time_ms or limits.idle_time_ms,
+            limits.header_lines,
+            limits.request_memory_bytes,
         )
 
     def _member_changed(self, record: MemberRecord) -> None:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import re
 import tempfile
 import threading
 import time
@@ -17,6 +18,9 @@
 
 HEADER_PREFIX = "X-Foxtailproxy-"
 TEMPLATE = Path(__file__).parents[1] / "deploy" / "node.ini.template"
+OPTIONAL_SETTING = re.compile(r"{{#([\w.]+)}}(.*?){{/\1}}")
+"""Part of the template that is left out where the platform does not set the field."""
+
 SERVICES = ("kalender", "broneering")
 HOST_BY_SERVICE = {"kalender": "days.example", "broneering": "book.example"}
 STOP_GRACE_S = 6
@@ -144,8 +148,11 @@
             "bounds.budget_slack": self.retry_slack,
             "bounds.budget_window_s": 10,
             "bounds.grace_s": STOP_GRACE_S,
+            "limits.memory_mb": 200,
+            "limits.max_fds": 4100,
         }
         text = TEMPLATE.read_text(encoding="utf-8")
+        text = OPTIONAL_SETTING.sub(lambda match: match[2] if match[1] in values else "", text)
         for key, value in values.items():
             text = text.replace("{{" + key + "}}", str(value))
         # All nodes share one address here, so the template's fixed port would already be in use.
