Add fleet-wide allowances of customers

Each region has an owner per customer with a token bucket; nodes report their draws and ask when the bucket is low; owners divide the rate between regions by demand.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -161,6 +161,7 @@
             "platform_failures": self._node.store.counters.failures,
             "speed_checks": self._node.target.health_check.speed_checks,
             "retries": self._node.metrics.retries,
+            **self._node.allowances.counters(),
             **_packet_gauges("sent", self._node.gossip.socket.sent_by_kind),
             **_packet_gauges("skipped", self._node.gossip.socket.skipped_by_kind),
             "members_suspected": self._node.gossip.detector.suspected_count,
--- a/foxtailproxy/call.py
+++ b/foxtailproxy/call.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from foxtailproxy.clock import Clock
     from foxtailproxy.http.messages import RequestHead
-    from foxtailproxy.models.rules import ClassRule, ServiceRule
+    from foxtailproxy.models.rules import ClassRule, CustomerRule, ServiceRule
     from foxtailproxy.routing import Choice
 
 MAX_DEPTH = 16
@@ -32,6 +32,7 @@
     the call, and until when the caller waits. `payload` holds the body if it is completely in
     memory, so that it can be sent again; otherwise the body streams once from `stream`. `key` is
     the idempotency key; `first_send` is the caller's statement that it never sent this key before.
+    `customer` is the identified customer, from whose allowance the call draws.
     """
 
     head: RequestHead
@@ -49,6 +50,7 @@
     decline_policy: DeclinePolicy = RUN_AT_ONCE
     last_choice: Choice | None = None
     crashed_upstreams: list[str] = field(default_factory=list)
+    customer: CustomerRule | None = None
     attempt_id: str = field(default_factory=lambda: new_id())
     send_number: int = 0
     _fingerprint: str = ""
--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -32,6 +32,7 @@
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import Match
     from foxtailproxy.config_sync import ConfigSync
+    from foxtailproxy.customers.allowance_client import Allowances
     from foxtailproxy.dispatch import Dispatcher
     from foxtailproxy.http.exchange import ServerExchange
     from foxtailproxy.metrics import Metrics
@@ -111,6 +112,7 @@
         metrics: Metrics,
         dialect: Dialect,
         log_calls: bool,
+        allowances: Allowances | None = None,
     ) -> None:
         self.clock = clock
         self.pending = 0
@@ -123,6 +125,7 @@
         self._metrics = metrics
         self._log_calls = log_calls
         self._dialect = dialect
+        self._allowances = allowances
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Handle one request from a caller."""
@@ -292,7 +295,15 @@
         rule_book = self._config_sync.rule_book
         if rule_book is None:
             return Error(NotRun(NotRunReason.NO_CONFIGURATION))
-        return await self._dispatcher.run(call, rule_book)
+        if call.customer is None or self._allowances is None:
+            return await self._dispatcher.run(call, rule_book)
+        drawn = await self._allowances.draw(call.customer, call.attempt_id)
+        if isinstance(drawn, NotRun):
+            return Error(drawn)
+        outcome = await self._dispatcher.run(call, rule_book)
+        if outcome.is_error() and isinstance(outcome.error, NotRun):
+            self._allowances.give_back(drawn)
+        return outcome
 
 
 def failure_for_caller(headers: messages.HeaderList, rejection: NotRun) -> NotRun | Unknown:
--- /dev/null
+++ b/foxtailproxy/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers: their identity and their allowances over all nodes."""
--- /dev/null
+++ b/foxtailproxy/customers/region_shares.py
@@ -0,0 +1,207 @@
+"""Division of a customer's rate between regions, by the demand in each.
+
+Traffic between regions is scarce, so only the owners of a customer in each region exchange its
+demand, about once a second. A region raises its own part only after the others have confirmed its
+demand, that is, after they have lowered theirs: in a partition the parts stay as they were.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from foxtailproxy.clock import WorkTimer
+from foxtailproxy.customers.allowance import SECONDS_PER_MINUTE
+from foxtailproxy.models.messages import AllowanceDemand, RegionDemand
+from foxtailproxy.traffic_budget import Purpose
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from foxtailproxy.clock import Clock
+    from foxtailproxy.customers.allowance import AllowanceOwner, Bucket
+    from foxtailproxy.customers.owners import Owners
+    from foxtailproxy.models.messages import MemberRecord
+
+    Address = tuple[str, int]
+
+log = structlog.get_logger()
+
+DEMAND_MARK = b"\x05"
+"""First byte of the datagrams; no other datagram begins with it."""
+
+EXCHANGE_MS = 1000.0
+"""Interval in milliseconds at which the demand is sent to the other regions."""
+
+REPLY_MS = 700.0
+"""Time after a datagram to a region in which another one to it is not needed, in milliseconds."""
+
+BASE_SHARE = 0.1
+"""Part of the rate that is divided evenly, so that a region without demand can begin."""
+
+MAX_DEMANDS = 40
+"""Most customers in one datagram."""
+
+
+@dataclass(slots=True)
+class Demands:
+    """Demand of one customer by region, in requests per minute.
+
+    `sent` is what was last sent to each region, `confirmed` what each region said that it has.
+    """
+
+    own_per_min: int = 0
+    by_region: dict[str, int] = field(default_factory=dict)
+    confirmed_by_region: dict[str, int] = field(default_factory=dict)
+    sent_ms_by_region: dict[str, float] = field(default_factory=dict)
+
+    def settled_per_min(self) -> int:
+        """Return the own demand as far as all regions that were heard of know it."""
+        confirmed = [self.confirmed_by_region.get(region, 0) for region in self.by_region]
+        return min([self.own_per_min, *confirmed])
+
+
+class RegionShares:
+    """Parts of the customers' rates that this region may grant."""
+
+    def __init__(
+        self, clock: Clock, owners: Owners, send: Callable[[Purpose, bytes, Address], bool]
+    ) -> None:
+        self.sent = 0
+        self.skipped = 0
+        self.malformed = 0
+        self._clock = clock
+        self._owners = owners
+        self._send = send
+        self._owner: AllowanceOwner | None = None
+        self._demands_by_customer: dict[int, Demands] = {}
+        self._timer = WorkTimer(clock, EXCHANGE_MS, self._exchange)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(AllowanceDemand)
+
+    def follow(self, owner: AllowanceOwner) -> None:
+        """Exchange the demand of the customers that an owner has buckets for."""
+        self._owner = owner
+        owner.on_owned = self._begin
+
+    def close(self) -> None:
+        """Stop the exchange."""
+        self._timer.close()
+
+    def share_of(self, customer: int, bucket: Bucket) -> float:
+        """Return the part of a customer's rate that this region may grant."""
+        counts = self._owners.count_by_region()
+        if len(counts) <= 1:
+            return 1.0
+        demands = self._demands_by_customer.get(customer) or Demands()
+        total = sum(counts.values())
+        # A region that was not heard of gets its part of the nodes.
+        heard = {region: demands.by_region[region] for region in counts.keys() & demands.by_region}
+        own_region = self._owners.local_region
+        unheard = sum(
+            count
+            for region, count in counts.items()
+            if region not in heard and region != own_region
+        )
+        if not heard:
+            return counts[own_region] / total
+        base = bucket.rule.rate_per_s * SECONDS_PER_MINUTE * BASE_SHARE / len(counts)
+        own = demands.settled_per_min() + base
+        others = sum(heard.values()) + base * len(heard)
+        return (1 - unheard / total) * own / max(own + others, 1e-9)
+
+    # Exchange
+
+    def _begin(self, customer: int) -> None:
+        self._demands_by_customer.setdefault(customer, Demands())
+        self._send_to_regions([customer], reply=True)
+        self._timer.wake()
+
+    def _exchange(self) -> bool:
+        """Send the demand of the active customers; return whether there are any."""
+        assert self._owner is not None
+        buckets = self._owner.bucket_by_customer
+        for customer in self._demands_by_customer.keys() - buckets.keys():
+            del self._demands_by_customer[customer]
+        active = []
+        for customer, bucket in buckets.items():
+            demands = self._demands_by_customer.setdefault(customer, Demands())
+            previous = demands.own_per_min
+            if self._measure(demands, bucket) or previous:
+                active.append(customer)
+        self._send_to_regions(active, reply=True)
+        return bool(active)
+
+    def _measure(self, demands: Demands, bucket: Bucket) -> int:
+        """Take the present demand of this region as that which is sent to the others."""
+        demand_per_s = bucket.demand_per_s(self._clock.now_ms())
+        demands.own_per_min = math.ceil(demand_per_s * SECONDS_PER_MINUTE)
+        return demands.own_per_min
+
+    def _send_to_regions(self, customers: list[int], reply: bool) -> None:
+        customers_by_owner: dict[str, list[int]] = defaultdict(list)
+        owner_by_id: dict[str, MemberRecord] = {}
+        for customer in customers:
+            for owner in self._owners.peer_owners_of(customer):
+                customers_by_owner[owner.node_id].append(customer)
+                owner_by_id[owner.node_id] = owner
+        for owner_id, same_owner in customers_by_owner.items():
+            for start in range(0, len(same_owner), MAX_DEMANDS):
+                self._send_demands(
+                    owner_by_id[owner_id], same_owner[start : start + MAX_DEMANDS], reply
+                )
+
+    def _send_demands(self, owner: MemberRecord, customers: list[int], reply: bool) -> None:
+        items = []
+        for customer in customers:
+            demands = self._demands_by_customer[customer]
+            demands.sent_ms_by_region[owner.region] = self._clock.now_ms()
+            confirmed = demands.by_region.get(owner.region, -1)
+            items.append(RegionDemand(customer, demands.own_per_min, confirmed))
+        data = self._encoder.encode(AllowanceDemand(self._owners.local_region, reply, items))
+        address = (owner.address, owner.gossip_port)
+        if self._send(Purpose.allowance_answer, DEMAND_MARK + data, address):
+            self.sent += 1
+        else:
+            self.skipped += 1
+
+    def handle_datagram(self, datagram: bytes, address: Address) -> None:
+        """Apply the demand in another region, and tell it the demand in this one if it asks."""
+        try:
+            message = self._decoder.decode(datagram[1:])
+        except msgspec.MsgspecError as error:
+            self.malformed += 1
+            log.warning("allowance_datagram_malformed", sender=address[0], error=str(error)[:100])
+            return
+        if message.region == self._owners.local_region:
+            return
+        asked = [item.customer for item in message.demands if self._apply(message.region, item)]
+        if message.reply and asked:
+            self._reply(message.region, asked)
+
+    def _apply(self, region: str, item: RegionDemand) -> bool:
+        """Apply the demand of one customer; return whether the sender needs this region's."""
+        assert self._owner is not None
+        bucket = self._owner.bucket(item.customer)
+        if bucket is None:
+            return False
+        demands = self._demands_by_customer.setdefault(item.customer, Demands())
+        demands.by_region[region] = item.demand_per_min
+        demands.confirmed_by_region[region] = max(0, item.confirmed_per_min)
+        self._timer.wake()
+        unsent_ms = self._clock.now_ms() - demands.sent_ms_by_region.get(region, -math.inf)
+        return unsent_ms > REPLY_MS or item.confirmed_per_min < 0
+
+    def _reply(self, region: str, customers: list[int]) -> None:
+        for customer in customers:
+            bucket = self._owner.bucket(customer) if self._owner else None
+            if bucket is not None:
+                self._measure(self._demands_by_customer[customer], bucket)
+            for owner in self._owners.peer_owners_of(customer):
+                if owner.region == region:
+                    self._send_demands(owner, [customer], reply=False)
--- a/foxtailproxy/gossip_socket.py
+++ b/foxtailproxy/gossip_socket.py
@@ -1,4 +1,4 @@
-"""UDP socket of the membership protocol and load queries, which keeps to the byte budgets."""
+"""UDP socket of membership, load queries and allowances, which keeps to the byte budgets."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from msgspec.structs import replace
 from twisted.internet.protocol import DatagramProtocol
 
+from foxtailproxy.customers.allowance_exchange import ALLOWANCE_MARKS
+from foxtailproxy.customers.region_shares import DEMAND_MARK
 from foxtailproxy.load_exchange import LOAD_MARKS
 from foxtailproxy.models.messages import GossipPacket, MemberState, PacketKind
 from foxtailproxy.traffic_budget import Purpose, TrafficBudget
@@ -115,6 +117,7 @@
         self.paid_budget = paid_budget
         self.last_received_ms = 0.0
         self.on_load_datagram: Callable[[bytes, Address], None] | None = None
+        self.on_allowance_datagram: Callable[[bytes, Address], None] | None = None
         self._clock = clock
         self._table = table
         self._config_version = config_version
@@ -143,6 +146,10 @@
             if self.on_load_datagram is not None:
                 self.on_load_datagram(datagram, (addr[0], addr[1]))
             return
+        if datagram.startswith((*ALLOWANCE_MARKS, DEMAND_MARK)):
+            if self.on_allowance_datagram is not None:
+                self.on_allowance_datagram(datagram, (addr[0], addr[1]))
+            return
         try:
             packet = self._decoder.decode(decompress(datagram))
         except (msgspec.MsgspecError, zlib.error):
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -350,6 +350,165 @@
     """
 
 
+class AllowanceUse(Struct, array_like=True):
+    """
+    Draws of one node from the allowance of one customer.
+    """
+
+    customer: Annotated[int, Meta(description="Digest of the customer's name.", ge=0)]
+    """
+    Digest of the customer's name.
+    """
+    stream: Annotated[
+        int,
+        Meta(
+            description="Random number of this series of totals; a new one for each owner and process.",
+            ge=0,
+            le=4294967295,
+        ),
+    ]
+    """
+    Random number of this series of totals; a new one for each owner and process.
+    """
+    total: Annotated[
+        int,
+        Meta(
+            description="Draws since the stream began, less those given back.",
+            ge=-9007199254740991,
+            le=9007199254740991,
+        ),
+    ]
+    """
+    Draws since the stream began, less those given back.
+    """
+    unacknowledged: Annotated[
+        int,
+        Meta(
+            description="Part of the total that no answer has confirmed.",
+            ge=-9007199254740991,
+            le=9007199254740991,
+        ),
+    ] = 0
+    """
+    Part of the total that no answer has confirmed.
+    """
+    waiting: Annotated[
+        int, Meta(description="Requests that wait for the answer.", ge=0, le=1000000)
+    ] = 0
+    """
+    Requests that wait for the answer.
+    """
+    demand_per_min: Annotated[
+        int,
+        Meta(
+            description="Requests of the customer that enter at the node, per minute.",
+            ge=0,
+            le=60000000,
+        ),
+    ] = 0
+    """
+    Requests of the customer that enter at the node, per minute.
+    """
+
+
+class AllowanceReport(Struct, array_like=True):
+    """
+    Datagram that reports draws to the owner of their customers, and asks for more.
+    """
+
+    sequence: Annotated[
+        int, Meta(description="Increases with each report of a process.", ge=0, le=9007199254740991)
+    ]
+    """
+    Increases with each report of a process.
+    """
+    uses: Annotated[list[AllowanceUse], Meta(max_length=64)]
+
+
+class AllowanceLevel(Struct, array_like=True):
+    """
+    What the owner lets one node draw from the allowance of one customer.
+    """
+
+    customer: Annotated[int, Meta(ge=0)]
+    total: Annotated[
+        int, Meta(description="Total of the report.", ge=-9007199254740991, le=9007199254740991)
+    ]
+    """
+    Total of the report.
+    """
+    granted: Annotated[
+        int, Meta(description="Draws beyond the total that are already charged.", ge=0, le=1000000)
+    ] = 0
+    """
+    Draws beyond the total that are already charged.
+    """
+    wait_ms: Annotated[
+        int,
+        Meta(
+            description="0: draw without asking; -1: ask for each request; else reject what was not granted for this time, in milliseconds.",
+            ge=-1,
+            le=3600000,
+        ),
+    ] = 0
+    """
+    0: draw without asking; -1: ask for each request; else reject what was not granted for this time, in milliseconds.
+    """
+
+
+class AllowanceAnswer(Struct, array_like=True):
+    """
+    Datagram that answers a report.
+    """
+
+    sequence: Annotated[int, Meta(ge=0, le=9007199254740991)]
+    levels: Annotated[list[AllowanceLevel], Meta(max_length=64)]
+
+
+class RegionDemand(Struct, array_like=True):
+    """
+    Demand of one customer in the sender's region.
+    """
+
+    customer: Annotated[int, Meta(ge=0)]
+    demand_per_min: Annotated[
+        int,
+        Meta(
+            description="Requests that enter in the sender's region, per minute.", ge=0, le=60000000
+        ),
+    ]
+    """
+    Requests that enter in the sender's region, per minute.
+    """
+    confirmed_per_min: Annotated[
+        int,
+        Meta(
+            description="Demand of the receiver's region as the sender has it; -1 if it was not heard of.",
+            ge=-1,
+            le=60000000,
+        ),
+    ] = -1
+    """
+    Demand of the receiver's region as the sender has it; -1 if it was not heard of.
+    """
+
+
+class AllowanceDemand(Struct, array_like=True):
+    """
+    Datagram between the owners of customers in two regions, from which each derives its share of the rate.
+    """
+
+    region: Annotated[str, Meta(description="Region of the sender.", max_length=63)]
+    """
+    Region of the sender.
+    """
+    reply: Annotated[bool, Meta(description="Whether the sender asks for the receiver's demand.")]
+    """
+    Whether the sender asks for the receiver's demand.
+    """
+    demands: Annotated[list[RegionDemand], Meta(max_length=64)]
+
+
 class Announcement(Struct):
     """
     Announcement of an upstream to its node.
@@ -436,3 +595,6 @@
     config: ConfigObject
     load_query: LoadQuery
     load_answer: LoadAnswer
+    allowance_report: AllowanceReport
+    allowance_answer: AllowanceAnswer
+    allowance_demand: AllowanceDemand
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -20,6 +20,7 @@
 from foxtailproxy.clock import Clock
 from foxtailproxy.config.settings import split_address
 from foxtailproxy.config_sync import ConfigSync, IniConfigSource
+from foxtailproxy.customers.node_allowances import NodeAllowances
 from foxtailproxy.dialect import FoxtailDialect
 from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.first_announcement import FirstAnnouncement
@@ -174,6 +175,10 @@
             clock, self.target, self.table.local_record.region, rng, socket.send_datagram
         )
         socket.on_load_datagram = self.loads.handle_datagram
+        self.allowances = NodeAllowances(
+            clock, self.table, self.settings.customers, rng, socket.send_datagram
+        )
+        socket.on_allowance_datagram = self.allowances.handle_datagram
         self.claims = Claims(clock, limits, self.store, self.peers, self.table.local_record)
         dispatcher = Dispatcher(
             clock,
@@ -196,6 +201,7 @@
             self.metrics,
             dialect,
             self.settings.node.log_calls,
+            self.allowances.draws,
         )
         self.peer_server = PeerServer(
             clock,
@@ -395,6 +401,7 @@
         )
         self.target.configure(settings.upstream)
         self.router.links = settings.links
+        self.allowances.configure(settings.customers)
         if self.settings.platform.adapter:
             self.retry_budgets.set_limits(self._retry_limits())
         if self.config_sync.rule_book is not None:
@@ -466,6 +473,7 @@
         self.config_sync.close()
         self.registration.close()
         self.first_announcement.close()
+        self.allowances.close()
         self.gossip.close()
         self.peer_server.close()
         await DeferredList([maybeDeferred(port.stopListening) for port in self._ports])
@@ -556,6 +564,7 @@
         return self.config_sync.store_lost
 
     def _config_adopted(self, rule_book: RuleBook) -> None:
+        self.allowances.set_customers(rule_book.customers)
         fleet = rule_book.fleet
         if not self.settings.platform.adapter:
             self.retry_budgets.set_limits(RetryLimits(fleet.retry_percent / 100))
@@ -605,6 +614,7 @@
             target_left=record.target_left,
         )
         self.router.update_member(record)
+        self.allowances.update_member(record)
         if record.state is MemberState.dead:
             self.peers.remove_peer(record)
 
--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -140,9 +140,11 @@
         if isinstance(failure, NotRun):
             status = STATUS_BY_REASON.get(failure.reason, NOT_RUN_STATUS)
             if status in RETRY_LATER_STATUSES:
-                retry_wait_ms = max(
-                    0.0, min(failure.retry_after_ms, remaining_ms * MAX_RETRY_WAIT_SHARE)
-                )
+                retry_wait_ms = float(failure.retry_after_ms)
+                if failure.reason is not NotRunReason.ALLOWANCE_EXCEEDED:
+                    # An allowance has no token before that time, whatever the caller's deadline.
+                    retry_wait_ms = min(retry_wait_ms, remaining_ms * MAX_RETRY_WAIT_SHARE)
+                retry_wait_ms = max(0.0, retry_wait_ms)
                 headers.append(
                     (header_names.RETRY_AFTER, b"%.3f" % (retry_wait_ms / MS_PER_SECOND))
                 )
--- a/foxtailproxy/traffic_budget.py
+++ b/foxtailproxy/traffic_budget.py
@@ -36,6 +36,13 @@
     paid_digest = "paid-digest"
     """First packets of comparisons with another region, which leave a reserve for the answers."""
 
+    allowance_answer = "allowance-answer"
+    """Answers to reports of draws, without which a node falls back to its local share, and the
+    demand between regions."""
+
+    allowance_report = "allowance-report"
+    """Reports of draws from allowances; they repeat what an earlier one could not report."""
+
     load_answer = "load-answer"
     """Answers to load queries: a node that does not answer is taken for silent."""
 
@@ -53,6 +60,8 @@
     Purpose.comparison: 0.6,
     Purpose.records: 0.5,
     Purpose.paid_digest: 0.1,
+    Purpose.allowance_answer: 0.65,
+    Purpose.allowance_report: 0.6,
     Purpose.load_answer: 0.2,
     Purpose.load_query: 0.0,
     Purpose.load_requery: -0.4,
--- a/tools/generate_models.sh
+++ b/tools/generate_models.sh
@@ -14,7 +14,8 @@
   sed -i -e '/^ *| UnsetType$/d' -e 's/ | UnsetType\b//' "$out/$name.py"
   sed -i -e '1,2d' -e 's/UNSET, UnsetType, //; s/, UNSET, UnsetType$//; s/, UnsetType, /, /' "$out/$name.py"
   # Records sent in datagrams or with each call are encoded as arrays, without field names.
-  for record in GossipPacket MemberRecord CrashReport CallHead LoadQuery LoadAnswer; do
+  for record in GossipPacket MemberRecord CrashReport CallHead LoadQuery LoadAnswer \
+    AllowanceUse AllowanceReport AllowanceLevel AllowanceAnswer RegionDemand AllowanceDemand; do
     sed -i -e "s/^class $record(Struct):/class $record(Struct, array_like=True):/" "$out/$name.py"
   done
   sed -i -e "1i \"\"\"Models generated from \`schema/$name.schema.json\`.\"\"\"" "$out/$name.py"
