Measure the demand of customers at their owners and divide rates between regions

Nodes report how many requests entered, so that the owner's estimate has no bias from sporadic nodes; a question is repeated once within its wait.

--- a/foxtailproxy/customers/allowance.py
+++ b/foxtailproxy/customers/allowance.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from foxtailproxy.customers.rates import DecayingRate, ReportedRate
 from foxtailproxy.models.messages import AllowanceLevel
 
 if TYPE_CHECKING:
@@ -19,6 +20,8 @@
     from foxtailproxy.models.messages import AllowanceUse
     from foxtailproxy.models.rules import CustomerRule
 
+    Address = tuple[str, int]
+
 log = structlog.get_logger()
 
 MS_PER_SECOND = 1000.0
@@ -46,7 +49,12 @@
 
 MIN_CLOSED_MS = 250.0
 MAX_CLOSED_MS = 10_000.0
-"""Bounds of the time between two grants to a node of a customer that exceeds its limit."""
+MAX_ASKS_PER_S = MS_PER_SECOND / MIN_CLOSED_MS
+"""Bounds of the time between two grants to a node of a customer that exceeds its limit, and of the
+rate of its questions."""
+
+EARLY_SHARE = 0.25
+"""Part of that time after which a node may ask again that got nothing for lack of tokens."""
 
 CLOSED_SPREAD = 0.2
 """Relative spread of that time, so that the nodes do not ask in step."""
@@ -95,9 +103,11 @@
     """
 
     charged: int
+    demand: ReportedRate
     sequence: int = -1
-    demand_per_s: float = 0.0
+    entered: int = 0
     heard_ms: float = 0.0
+    last_level: AllowanceLevel | None = None
 
 
 @dataclass(slots=True)
@@ -109,9 +119,11 @@
     overdraft: float
     tokens: float
     filled_ms: float
+    demand: DecayingRate
     share: float = 1.0
     over_until_ms: float = -math.inf
     account_by_stream: dict[int, Account] = field(default_factory=dict)
+    stream_by_sender: dict[Address, int] = field(default_factory=dict)
 
     def fill(self, now_ms: float, rate_per_s: float) -> None:
         """Add the tokens since the last time, up to one burst after a long sleep of the process."""
@@ -125,16 +137,34 @@
         return self.rule.rate_per_s * self.share
 
     def demand_per_s(self, now_ms: float) -> float:
-        """Return the demand at all nodes that reported lately, in requests per second."""
-        since_ms = now_ms - ACTIVE_MS
-        accounts = self.account_by_stream.values()
-        return sum(item.demand_per_s for item in accounts if item.heard_ms > since_ms)
+        """Return the requests that enter at all nodes of the region, per second."""
+        return self.demand.per_s(now_ms)
 
-    def asker_count(self, now_ms: float) -> int:
-        """Return the number of nodes that reported demand lately."""
-        since_ms = now_ms - ACTIVE_MS
-        accounts = self.account_by_stream.values()
-        return sum(item.demand_per_s > 0 and item.heard_ms > since_ms for item in accounts)
+    def ask_rates(self, now_ms: float) -> list[float]:
+        """Return the requests per second at each node that reported lately."""
+        accounts = map(self.account_by_stream.__getitem__, self.stream_by_sender.values())
+        return [item.demand.per_s() for item in accounts if now_ms - item.heard_ms < ACTIVE_MS]
+
+    def account(self, sender: Address, use: AllowanceUse, now_ms: float) -> Account:
+        """Return the account of a report, a new one for a new stream."""
+        account = self.account_by_stream.get(use.stream)
+        if account is None:
+            self._forget_streams(now_ms)
+            account = Account(use.total - use.unacknowledged, ReportedRate(now_ms - ACTIVE_MS))
+            account.entered = max(0, use.entered - max(0, use.unacknowledged) - use.waiting)
+            self.account_by_stream[use.stream] = account
+            self.stream_by_sender[sender] = use.stream
+        return account
+
+    def _forget_streams(self, now_ms: float) -> None:
+        """Forget streams that can no longer be repeated, and their senders."""
+        for stream, account in list(self.account_by_stream.items()):
+            if now_ms - account.heard_ms > STREAM_MEMORY_MS:
+                del self.account_by_stream[stream]
+        known = self.account_by_stream
+        self.stream_by_sender = {
+            sender: stream for sender, stream in self.stream_by_sender.items() if stream in known
+        }
 
 
 class AllowanceOwner:
@@ -191,36 +221,41 @@
             bucket.fill(self._clock.now_ms(), bucket.rate_per_s)
             bucket.tokens = min(bucket.tokens, self._first_fill(bucket.rule) * bucket.share)
 
-    def settle(self, sequence: int, use: AllowanceUse) -> AllowanceLevel | None:
-        """Charge a node's draws and grant what waits; `None` for a repeated or unknown report."""
+    def settle(self, sender: Address, sequence: int, use: AllowanceUse) -> AllowanceLevel | None:
+        """Charge a node's draws and grant what waits; `None` for an old or unknown report.
+
+        A report that is repeated gets the same answer again, and is not charged again.
+        """
         bucket = self.bucket(use.customer)
         if bucket is None:
             return None
         now_ms = self._clock.now_ms()
         bucket.fill(now_ms, bucket.rate_per_s)
         self._apply_rule(use.customer, bucket, bucket.rule)
-        account = bucket.account_by_stream.get(use.stream)
-        if account is None:
-            self._forget_streams(bucket)
-            account = Account(use.total - use.unacknowledged)
-            bucket.account_by_stream[use.stream] = account
+        account = bucket.account(sender, use, now_ms)
         if sequence <= account.sequence:
             self.repeated += 1
-            return None
+            return account.last_level if sequence == account.sequence else None
         account.sequence = sequence
         account.heard_ms = now_ms
-        account.demand_per_s = use.demand_per_min / SECONDS_PER_MINUTE
+        entered = max(0, use.entered - account.entered)
+        account.entered = max(account.entered, use.entered)
+        account.demand.add(now_ms, entered)
+        bucket.demand.add(now_ms, entered)
         # Draws that were granted but not used return; unreported ones may exceed the bucket.
         bucket.tokens = min(bucket.capacity, bucket.tokens + account.charged - use.total)
         bucket.tokens = max(bucket.tokens, -self._max_debt(bucket.rule))
-        granted, wait_ms = self._decide(bucket, use, now_ms)
+        granted, wait_ms = self._decide(bucket, use, account.demand.per_s(), now_ms)
         bucket.tokens -= granted
         account.charged = use.total + granted
         self.granted += granted
         self.refused += max(0, use.waiting - granted)
-        return AllowanceLevel(use.customer, use.total, granted, wait_ms)
+        account.last_level = AllowanceLevel(use.customer, use.total, granted, wait_ms)
+        return account.last_level
 
-    def _decide(self, bucket: Bucket, use: AllowanceUse, now_ms: float) -> tuple[int, int]:
+    def _decide(
+        self, bucket: Bucket, use: AllowanceUse, node_demand_per_s: float, now_ms: float
+    ) -> tuple[int, int]:
         """Return the draws to grant, and the level as in `AllowanceLevel.wait_ms`."""
         rate_per_s = bucket.rate_per_s
         over = now_ms < bucket.over_until_ms
@@ -228,10 +263,9 @@
             left = bucket.tokens - use.waiting
             return use.waiting, OPEN if left >= bucket.capacity * OPEN_SHARE else ASK
         demand_per_s = bucket.demand_per_s(now_ms)
-        node_demand_per_s = use.demand_per_min / SECONDS_PER_MINUTE
         wait_ms = self._closed_ms(now_ms, bucket)
         wanted = max(use.waiting, round(node_demand_per_s * wait_ms / MS_PER_SECOND))
-        node_share = node_demand_per_s / demand_per_s if demand_per_s else 1.0
+        node_share = min(1.0, node_demand_per_s / demand_per_s) if demand_per_s else 1.0
         fair = rate_per_s * wait_ms / MS_PER_SECOND * node_share
         granted = self._share(bucket, wanted, fair)
         if granted < use.waiting or demand_per_s > rate_per_s:
@@ -241,17 +275,25 @@
                     customer=bucket.rule.name,
                     rate_per_s=round(rate_per_s, 2),
                     demand_per_s=round(demand_per_s, 1),
-                    nodes=bucket.asker_count(now_ms),
+                    nodes=len(bucket.ask_rates(now_ms)),
                     tokens=round(bucket.tokens, 1),
                     share=round(bucket.share, 3),
                 )
             bucket.over_until_ms = now_ms + OVER_MEMORY_MS
         if granted < use.waiting:
-            missing = 1 - (bucket.tokens - granted)
-            wait_ms = max(wait_ms, missing / rate_per_s * MS_PER_SECOND)
+            wait_ms = self._refused_ms(bucket, granted, fair, wait_ms)
         spread = 1 + CLOSED_SPREAD * (2 * self._rng.random() - 1)
         return granted, round(min(max(wait_ms * spread, 1.0), MAX_CLOSED_MS))
 
+    @staticmethod
+    def _refused_ms(bucket: Bucket, granted: int, fair: float, wait_ms: float) -> float:
+        """Return the time until there is a token, for a node that did not get what waits."""
+        if fair >= 1:
+            # It will get its share as soon as the debt is paid; later, tokens would overflow.
+            wait_ms = max(MIN_CLOSED_MS, wait_ms * EARLY_SHARE)
+        missing = 1 - (bucket.tokens - granted)
+        return max(wait_ms, missing / bucket.rate_per_s * MS_PER_SECOND)
+
     @staticmethod
     def _share(bucket: Bucket, wanted: int, fair: float) -> int:
         """Return what a node gets of a bucket that does not suffice for all."""
@@ -261,11 +303,15 @@
 
     def _closed_ms(self, now_ms: float, bucket: Bucket) -> float:
         """Return the time between two grants to one node, which bounds the rate of answers."""
-        askers = sum(
-            item.asker_count(now_ms)
+        rates = [
+            rate
             for item in self.bucket_by_customer.values()
             if item is bucket or now_ms < item.over_until_ms
-        )
+            for rate in item.ask_rates(now_ms)
+        ]
+        if sum(min(rate, MAX_ASKS_PER_S) for rate in rates) <= MAX_ANSWERS_PER_S:
+            return MIN_CLOSED_MS
+        askers = len(rates)
         return min(max(MIN_CLOSED_MS, askers / MAX_ANSWERS_PER_S * MS_PER_SECOND), MAX_CLOSED_MS)
 
     def bucket(self, customer: int) -> Bucket | None:
@@ -274,7 +320,8 @@
         rule = self._rule_by_customer.get(customer)
         if bucket is not None or rule is None:
             return bucket
-        bucket = Bucket(rule, 0.0, 0.0, math.inf, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        bucket = Bucket(rule, 0.0, 0.0, math.inf, now_ms, DecayingRate(now_ms))
         self.bucket_by_customer[customer] = bucket
         self._apply_rule(customer, bucket, rule)
         bucket.tokens = min(bucket.capacity, self._first_fill(rule) * bucket.share)
@@ -306,9 +353,3 @@
     def _max_debt(self, rule: CustomerRule) -> float:
         """Return the largest debt: after a window without draws it is paid."""
         return rule.rate_per_s * self.terms.window_ms / MS_PER_SECOND + rule.burst
-
-    def _forget_streams(self, bucket: Bucket) -> None:
-        since_ms = self._clock.now_ms() - STREAM_MEMORY_MS
-        for stream, account in list(bucket.account_by_stream.items()):
-            if account.heard_ms < since_ms:
-                del bucket.account_by_stream[stream]
--- a/foxtailproxy/customers/allowance_client.py
+++ b/foxtailproxy/customers/allowance_client.py
@@ -11,6 +11,7 @@
 
 from foxtailproxy.clock import WorkTimer, cancel_timer
 from foxtailproxy.customers.allowance import ASK, MS_PER_SECOND, OPEN, customer_digest
+from foxtailproxy.customers.rates import DecayingRate
 from foxtailproxy.models.messages import AllowanceLevel, AllowanceUse
 from foxtailproxy.outcome import NotRun, NotRunReason
 
@@ -32,7 +33,7 @@
 REPORT_INTERVAL_MS = 250.0
 """Interval in milliseconds at which draws are reported while their level is open."""
 
-REPEAT_MS = 500.0
+REPEAT_MS = 250.0
 """Time in milliseconds after which a report without an answer is repeated."""
 
 UNREPORTED_SHARE = 1 / 32
@@ -44,14 +45,12 @@
 SILENT_AFTER_MS = 1500.0
 """Time without an answer to reports after which a node draws from its local share."""
 
+EXPIRED_LIMIT = 2
 SILENT_MS = 500.0
-"""Time after an unanswered question during which a node asks, but does not wait for answers."""
-
-RATE_MEMORY_MS = 2000.0
-"""Time constant of the measured rates, in milliseconds."""
+"""Time after so many unanswered questions in which a node asks, but does not wait for answers."""
 
 OPEN_SHARE_FACTOR = 1.5
-CLOSED_SHARE_FACTOR = 0.8
+CLOSED_SHARE_FACTOR = 0.5
 """Local share without an owner, relative to the rate at which this node has been admitting: the sum
 over all nodes is the rate of the customer if it was over its limit, and below it otherwise."""
 
@@ -75,30 +74,6 @@
 """Rejections of one customer that are logged in one second; the rest are counted."""
 
 
-class DecayingRate:
-    """Rate of events in the last seconds, with exponential weights."""
-
-    __slots__ = ("_count", "_ms")
-
-    def __init__(self, now_ms: float) -> None:
-        self._count = 0.0
-        self._ms = now_ms
-
-    def add(self, now_ms: float) -> None:
-        """Count an event."""
-        self._decay(now_ms)
-        self._count += 1
-
-    def per_s(self, now_ms: float) -> float:
-        """Return the events per second."""
-        self._decay(now_ms)
-        return self._count / RATE_MEMORY_MS * MS_PER_SECOND
-
-    def _decay(self, now_ms: float) -> None:
-        self._count *= math.exp(-max(0.0, now_ms - self._ms) / RATE_MEMORY_MS)
-        self._ms = now_ms
-
-
 @dataclass(slots=True)
 class LocalShare:
     """Token bucket that a node uses while the owner does not answer."""
@@ -147,7 +122,8 @@
 class Usage:
     """Draws of one customer at this node, and what its owner last answered.
 
-    `total` counts the draws since the stream began, `acknowledged` those that the owner knows of.
+    `entered` counts the requests and `total` the draws since the stream began, `acknowledged` the
+    draws that the owner knows of.
     `over` tells whether the customer exceeded its limit at the last answer.
     """
 
@@ -157,6 +133,7 @@
     stream: int
     admitted: DecayingRate
     demand: DecayingRate
+    entered: int = 0
     total: int = 0
     acknowledged: int = 0
     sent_total: int = 0
@@ -169,6 +146,7 @@
     level_ms: float = -math.inf
     over: bool = False
     silent_until_ms: float = -math.inf
+    expired: int = 0
     promised_ms: float = 0.0
     waiters: list[Waiter] = field(default_factory=list)
     timer: Any = None
@@ -250,6 +228,7 @@
         now_ms = self._clock.now_ms()
         usage = self._usage(rule, now_ms)
         usage.demand.add(now_ms)
+        usage.entered += 1
         if usage.total < usage.limit:
             return succeed(self._admit(usage))
         if usage.closed_left_ms(now_ms):
@@ -303,9 +282,14 @@
         usage.owner = owner
         if same:
             return
-        # What the last owner was not told of is reported to the new one.
-        usage.total -= usage.acknowledged
+        # The last draws are reported to the new owner. The earlier ones count as paid, since its
+        # bucket begins low; otherwise it would refuse what was drawn before it was known.
+        unacknowledged = usage.total - usage.acknowledged
+        rate_per_s = usage.admitted.per_s(self._clock.now_ms())
+        last_draws = 1 + rate_per_s * REPORT_INTERVAL_MS / MS_PER_SECOND
+        usage.total = max(0, min(unacknowledged, int(last_draws)))
         usage.acknowledged = usage.sent_total = 0
+        usage.entered = usage.total
         usage.limit = usage.total
         usage.stream = self._new_stream()
         usage.sent_sequence = usage.answered_sequence = -1
@@ -420,13 +404,21 @@
 
     def _ask(self, usage: Usage) -> None:
         """Ask the owner for the requests that wait."""
-        usage.timer = self._clock.call_later(ANSWER_WAIT_MS, self._question_expired, usage)
+        use = self._use(usage)
+        usage.timer = self._clock.call_later(ANSWER_WAIT_MS / 2, self._ask_again, usage, use)
         if not self._send_to_owner([usage]):
             self._question_expired(usage)
 
+    def _ask_again(self, usage: Usage, use: AllowanceUse) -> None:
+        """Repeat a question, which or whose answer may be lost; the owner charges it only once."""
+        usage.timer = self._clock.call_later(ANSWER_WAIT_MS / 2, self._question_expired, usage)
+        self._exchange.report(usage.owner, usage.sent_sequence, [use])
+
     def _question_expired(self, usage: Usage) -> None:
         self.unanswered += 1
-        usage.silent_until_ms = self._clock.now_ms() + SILENT_MS
+        usage.expired += 1
+        if usage.expired >= EXPIRED_LIMIT:
+            usage.silent_until_ms = self._clock.now_ms() + SILENT_MS
         self._decide_locally(usage)
 
     def _probe(self, usage: Usage, now_ms: float) -> None:
@@ -455,7 +447,7 @@
         """Send a report to the common owner of some customers; return whether it was sent."""
         now_ms = self._clock.now_ms()
         sequence = self._exchange.next_sequence()
-        uses = [self._use(usage, now_ms) for usage in usages]
+        uses = [self._use(usage) for usage in usages]
         for usage in usages:
             # The owner takes back what it granted and was not used, and answers with a new grant.
             usage.limit = min(usage.limit, usage.total)
@@ -468,14 +460,14 @@
         return self._exchange.report(usages[0].owner, sequence, uses)
 
     @staticmethod
-    def _use(usage: Usage, now_ms: float) -> AllowanceUse:
+    def _use(usage: Usage) -> AllowanceUse:
         return AllowanceUse(
             usage.customer,
             usage.stream,
             usage.total,
             usage.total - usage.acknowledged,
             len(usage.waiters),
-            math.ceil(usage.demand.per_s(now_ms) * 60),
+            usage.entered,
         )
 
     def _handle_level(self, owner: Address, sequence: int, level: AllowanceLevel) -> None:
@@ -495,6 +487,7 @@
         usage.over = level.wait_ms > 0
         usage.unanswered_since_ms = math.inf
         usage.silent_until_ms = -math.inf
+        usage.expired = 0
         usage.local = None
         if sequence == usage.sent_sequence:
             # A later report has returned what an earlier answer grants.
--- a/foxtailproxy/customers/allowance_exchange.py
+++ b/foxtailproxy/customers/allowance_exchange.py
@@ -68,7 +68,7 @@
         """Report draws to the owner of some customers; return whether the budgets allow it."""
         address = (owner.address, owner.gossip_port)
         if owner.node_id == self._local_id:
-            for level in self._settle(sequence, uses):
+            for level in self._settle(address, sequence, uses):
                 self._pass_level(address, sequence, level)
             return True
         self.reports += 1
@@ -90,14 +90,16 @@
             log.warning("allowance_datagram_malformed", sender=address[0], error=str(error)[:100])
 
     def _answer(self, report: AllowanceReport, address: Address) -> None:
-        levels = self._settle(report.sequence, report.uses)
+        levels = self._settle(address, report.sequence, report.uses)
         if levels:
             self.answers += 1
             answer = self._encoder.encode(AllowanceAnswer(report.sequence, levels))
             self._try_send(Purpose.allowance_answer, ANSWER_MARK + answer, address)
 
-    def _settle(self, sequence: int, uses: list[AllowanceUse]) -> list[AllowanceLevel]:
-        levels = [self._owner.settle(sequence, use) for use in uses]
+    def _settle(
+        self, sender: Address, sequence: int, uses: list[AllowanceUse]
+    ) -> list[AllowanceLevel]:
+        levels = [self._owner.settle(sender, sequence, use) for use in uses]
         return [level for level in levels if level is not None]
 
     def _pass_level(self, address: Address, sequence: int, level: AllowanceLevel) -> None:
--- a/foxtailproxy/customers/region_shares.py
+++ b/foxtailproxy/customers/region_shares.py
@@ -44,6 +44,16 @@
 BASE_SHARE = 0.1
 """Part of the rate that is divided evenly, so that a region without demand can begin."""
 
+STEADY_SHARE = 0.1
+"""Relative change of the demand up to which the last value stands, so that it stays confirmed."""
+
+LEARNING_MS = 3000.0
+"""Time in milliseconds in which a new owner learns the demand; until then it keeps to that which
+the other regions had from the last owner."""
+
+UNKNOWN = -1
+"""Demand that is not known."""
+
 MAX_DEMANDS = 40
 """Most customers in one datagram."""
 
@@ -52,10 +62,13 @@
 class Demands:
     """Demand of one customer by region, in requests per minute.
 
-    `sent` is what was last sent to each region, `confirmed` what each region said that it has.
+    `own_per_min` is what was last sent to the other regions, `confirmed_by_region` what each of
+    them said that it has, and `inherited_per_min` what they had when this node became the owner.
     """
 
-    own_per_min: int = 0
+    began_ms: float
+    own_per_min: int = UNKNOWN
+    inherited_per_min: int = UNKNOWN
     by_region: dict[str, int] = field(default_factory=dict)
     confirmed_by_region: dict[str, int] = field(default_factory=dict)
     sent_ms_by_region: dict[str, float] = field(default_factory=dict)
@@ -63,7 +76,7 @@
     def settled_per_min(self) -> int:
         """Return the own demand as far as all regions that were heard of know it."""
         confirmed = [self.confirmed_by_region.get(region, 0) for region in self.by_region]
-        return min([self.own_per_min, *confirmed])
+        return max(0, min([self.own_per_min, *confirmed]))
 
 
 class RegionShares:
@@ -98,7 +111,7 @@
         counts = self._owners.count_by_region()
         if len(counts) <= 1:
             return 1.0
-        demands = self._demands_by_customer.get(customer) or Demands()
+        demands = self._demands_of(customer)
         total = sum(counts.values())
         # A region that was not heard of gets its part of the nodes.
         heard = {region: demands.by_region[region] for region in counts.keys() & demands.by_region}
@@ -108,17 +121,23 @@
             for region, count in counts.items()
             if region not in heard and region != own_region
         )
-        if not heard:
+        if not heard or demands.own_per_min == UNKNOWN:
             return counts[own_region] / total
         base = bucket.rule.rate_per_s * SECONDS_PER_MINUTE * BASE_SHARE / len(counts)
         own = demands.settled_per_min() + base
         others = sum(heard.values()) + base * len(heard)
         return (1 - unheard / total) * own / max(own + others, 1e-9)
 
+    def _demands_of(self, customer: int) -> Demands:
+        demands = self._demands_by_customer.get(customer)
+        if demands is None:
+            demands = self._demands_by_customer[customer] = Demands(self._clock.now_ms())
+        return demands
+
     # Exchange
 
     def _begin(self, customer: int) -> None:
-        self._demands_by_customer.setdefault(customer, Demands())
+        self._demands_of(customer)
         self._send_to_regions([customer], reply=True)
         self._timer.wake()
 
@@ -130,7 +149,7 @@
             del self._demands_by_customer[customer]
         active = []
         for customer, bucket in buckets.items():
-            demands = self._demands_by_customer.setdefault(customer, Demands())
+            demands = self._demands_of(customer)
             previous = demands.own_per_min
             if self._measure(demands, bucket) or previous:
                 active.append(customer)
@@ -139,8 +158,12 @@
 
     def _measure(self, demands: Demands, bucket: Bucket) -> int:
         """Take the present demand of this region as that which is sent to the others."""
-        demand_per_s = bucket.demand_per_s(self._clock.now_ms())
-        demands.own_per_min = math.ceil(demand_per_s * SECONDS_PER_MINUTE)
+        now_ms = self._clock.now_ms()
+        measured_per_min = math.ceil(bucket.demand_per_s(now_ms) * SECONDS_PER_MINUTE)
+        if now_ms - demands.began_ms < LEARNING_MS:
+            demands.own_per_min = demands.inherited_per_min
+        elif abs(measured_per_min - demands.own_per_min) > STEADY_SHARE * demands.own_per_min:
+            demands.own_per_min = measured_per_min
         return demands.own_per_min
 
     def _send_to_regions(self, customers: list[int], reply: bool) -> None:
@@ -190,12 +213,16 @@
         bucket = self._owner.bucket(item.customer)
         if bucket is None:
             return False
-        demands = self._demands_by_customer.setdefault(item.customer, Demands())
-        demands.by_region[region] = item.demand_per_min
-        demands.confirmed_by_region[region] = max(0, item.confirmed_per_min)
+        demands = self._demands_of(item.customer)
+        if item.demand_per_min != UNKNOWN:
+            demands.by_region[region] = item.demand_per_min
+        if item.confirmed_per_min != UNKNOWN:
+            demands.confirmed_by_region[region] = item.confirmed_per_min
+            if demands.own_per_min == UNKNOWN:
+                demands.own_per_min = demands.inherited_per_min = item.confirmed_per_min
         self._timer.wake()
         unsent_ms = self._clock.now_ms() - demands.sent_ms_by_region.get(region, -math.inf)
-        return unsent_ms > REPLY_MS or item.confirmed_per_min < 0
+        return unsent_ms > REPLY_MS or item.confirmed_per_min == UNKNOWN
 
     def _reply(self, region: str, customers: list[int]) -> None:
         for customer in customers:
--- a/foxtailproxy/models/messages.py
+++ b/foxtailproxy/models/messages.py
@@ -398,16 +398,16 @@
     """
     Requests that wait for the answer.
     """
-    demand_per_min: Annotated[
+    entered: Annotated[
         int,
         Meta(
-            description="Requests of the customer that enter at the node, per minute.",
+            description="Requests of the customer that entered at the node since the stream began.",
             ge=0,
-            le=60000000,
+            le=9007199254740991,
         ),
     ] = 0
     """
-    Requests of the customer that enter at the node, per minute.
+    Requests of the customer that entered at the node since the stream began.
     """
 
 
@@ -474,11 +474,13 @@
     demand_per_min: Annotated[
         int,
         Meta(
-            description="Requests that enter in the sender's region, per minute.", ge=0, le=60000000
+            description="Requests that enter in the sender's region, per minute; -1 if it is not known yet.",
+            ge=-1,
+            le=60000000,
         ),
     ]
     """
-    Requests that enter in the sender's region, per minute.
+    Requests that enter in the sender's region, per minute; -1 if it is not known yet.
     """
     confirmed_per_min: Annotated[
         int,
--- a/foxtailproxy/tests/allowance_fleet.py
+++ b/foxtailproxy/tests/allowance_fleet.py
@@ -8,7 +8,9 @@
 from collections import Counter, defaultdict
 from typing import Any
 
+from foxtailproxy.customers.allowance_exchange import ANSWER_MARK, REPORT_MARK
 from foxtailproxy.customers.node_allowances import NodeAllowances
+from foxtailproxy.customers.region_shares import DEMAND_MARK
 from foxtailproxy.gossip_socket import PACKET_OVERHEAD_BYTES
 from foxtailproxy.models.messages import MemberRecord, MemberState
 from foxtailproxy.models.rules import CustomerRule
@@ -36,17 +38,20 @@
     def __init__(self, clock: Any, rng: random.Random) -> None:
         super().__init__(clock, rng)
         self.side_by_address: dict[str, int] = {}
+        self.allowance_loss_rate = 0.0
         self.traffic: Counter[tuple[str, str]] = Counter()
 
     def send(self, sender: GossipNode, data: bytes, address: tuple[str, int]) -> None:
         """Deliver a datagram, and count it if it belongs to allowances."""
-        if data[:1] in (b"\x03", b"\x04"):
+        if data[:1] in (REPORT_MARK, ANSWER_MARK, DEMAND_MARK):
             size = len(data) + PACKET_OVERHEAD_BYTES
             receiver = self.node_by_address[address[0]]
             self.traffic[sender.record.node_id, "datagrams"] += 1
             self.traffic[sender.record.node_id, "bytes"] += size
             if receiver.record.region != sender.record.region:
                 self.traffic[sender.record.node_id, "paid bytes"] += size
+            if self.rng.random() < self.allowance_loss_rate:
+                return
         super().send(sender, data, address)
 
     def _deliver(self, address: str, data: bytes, sender: GossipNode) -> None:
