--- a/foxtailproxy/customers/allowance.py
+++ b/foxtailproxy/customers/allowance.py
@@ -40,7 +40,7 @@
 
 LAG_MARGIN_SHARE = 0.25
 OVERDRAFT_MARGIN_SHARE = 0.25
-FIRST_FILL_MARGIN_SHARE = 0.4
+FIRST_FILL_MARGIN_SHARE = 0.25
 """Parts of the margin that the settings leave beyond the allowance of one window: for late reports,
 for shares that are granted before their tokens are refilled, and for the bucket of a new owner."""
 
@@ -263,12 +263,17 @@
             left = bucket.tokens - use.waiting
             return use.waiting, OPEN if left >= bucket.capacity * OPEN_SHARE else ASK
         demand_per_s = bucket.demand_per_s(now_ms)
+        if not over and demand_per_s <= rate_per_s:
+            # The bucket is low for a moment only; nodes need not take turns.
+            granted = max(0, math.floor(bucket.tokens))
+            missing = use.waiting - granted - (bucket.tokens - granted)
+            return granted, max(1, round(max(1.0, missing) / rate_per_s * MS_PER_SECOND))
         wait_ms = self._closed_ms(now_ms, bucket)
         wanted = max(use.waiting, round(node_demand_per_s * wait_ms / MS_PER_SECOND))
         node_share = min(1.0, node_demand_per_s / demand_per_s) if demand_per_s else 1.0
         fair = rate_per_s * wait_ms / MS_PER_SECOND * node_share
         granted = self._share(bucket, wanted, fair)
-        if granted < use.waiting or demand_per_s > rate_per_s:
+        if demand_per_s > rate_per_s:
             if not over:
                 log.info(
                     "allowance_over",
--- a/foxtailproxy/customers/allowance_client.py
+++ b/foxtailproxy/customers/allowance_client.py
@@ -10,7 +10,14 @@
 from twisted.internet.defer import Deferred, succeed
 
 from foxtailproxy.clock import WorkTimer, cancel_timer
-from foxtailproxy.customers.allowance import ASK, MS_PER_SECOND, OPEN, customer_digest
+from foxtailproxy.customers.allowance import (
+    ASK,
+    CLOSED_SPREAD,
+    MIN_CLOSED_MS,
+    MS_PER_SECOND,
+    OPEN,
+    customer_digest,
+)
 from foxtailproxy.customers.rates import DecayingRate
 from foxtailproxy.models.messages import AllowanceLevel, AllowanceUse
 from foxtailproxy.outcome import NotRun, NotRunReason
@@ -286,8 +293,8 @@
         # bucket begins low; otherwise it would refuse what was drawn before it was known.
         unacknowledged = usage.total - usage.acknowledged
         rate_per_s = usage.admitted.per_s(self._clock.now_ms())
-        last_draws = 1 + rate_per_s * REPORT_INTERVAL_MS / MS_PER_SECOND
-        usage.total = max(0, min(unacknowledged, int(last_draws)))
+        last_draws = round(rate_per_s * REPORT_INTERVAL_MS / MS_PER_SECOND)
+        usage.total = max(0, min(unacknowledged, last_draws))
         usage.acknowledged = usage.sent_total = 0
         usage.entered = usage.total
         usage.limit = usage.total
@@ -484,7 +491,7 @@
         usage.acknowledged = level.total
         usage.wait_ms = level.wait_ms
         usage.level_ms = now_ms
-        usage.over = level.wait_ms > 0
+        usage.over = level.wait_ms >= MIN_CLOSED_MS * (1 - CLOSED_SPREAD)
         usage.unanswered_since_ms = math.inf
         usage.silent_until_ms = -math.inf
         usage.expired = 0
--- a/foxtailproxy/customers/region_shares.py
+++ b/foxtailproxy/customers/region_shares.py
@@ -113,8 +113,9 @@
             return 1.0
         demands = self._demands_of(customer)
         total = sum(counts.values())
-        # A region that was not heard of gets its part of the nodes.
-        heard = {region: demands.by_region[region] for region in counts.keys() & demands.by_region}
+        # A region gets its part of the nodes until it and this one know each other's demand.
+        known = demands.by_region.keys() & demands.confirmed_by_region.keys()
+        heard = {region: demands.by_region[region] for region in counts.keys() & known}
         own_region = self._owners.local_region
         unheard = sum(
             count
