--- a/foxtailproxy/customers/owners.py
+++ b/foxtailproxy/customers/owners.py
@@ -36,6 +36,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._record_by_id: dict[str, MemberRecord] = {}
+        self._suspect_ids: set[str] = set()
         self._lost_ms_by_id: dict[str, float] = {}
         self._owner_id_by_customer: dict[int, str] = {}
         self._live_share = 1.0
@@ -44,10 +45,14 @@
     def update_member(self, record: MemberRecord) -> bool:
         """Apply a newer record of another node; return whether owners may have changed."""
         node_id = record.node_id
+        self._suspect_ids.discard(node_id)
+        self._live_share_ms = 0.0
         if record.state in (MemberState.alive, MemberState.suspect):
             self._lost_ms_by_id.pop(node_id, None)
             added = node_id not in self._record_by_id
             self._record_by_id[node_id] = record
+            if record.state is MemberState.suspect:
+                self._suspect_ids.add(node_id)
             if added:
                 self._own_if_higher(node_id)
             return added
@@ -56,7 +61,6 @@
             return False
         if record.state is MemberState.dead:
             self._lost_ms_by_id[node_id] = self._clock.now_ms()
-        self._live_share_ms = 0.0
         for customer, owner_id in list(self._owner_id_by_customer.items()):
             if owner_id == node_id:
                 del self._owner_id_by_customer[customer]
@@ -77,10 +81,15 @@
         return len(self._record_by_id) + self._lost_count()
 
     def live_share(self) -> float:
-        """Return the part of the known nodes that is live."""
+        """Return the part of the known nodes that is live and not suspect.
+
+        In a partition, most nodes of the other side are suspect before the first one is taken for
+        dead, and its customers get a second owner.
+        """
         now_ms = self._clock.now_ms()
         if not self._live_share_ms or now_ms - self._live_share_ms > SHARE_CACHE_MS:
-            self._live_share = len(self._record_by_id) / self.known_count()
+            live = len(self._record_by_id) - len(self._suspect_ids)
+            self._live_share = max(1, live) / max(1, self.known_count())
             self._live_share_ms = now_ms
         return self._live_share
 
@@ -97,7 +106,6 @@
         return sum(now_ms - lost_ms <= LOST_MS for lost_ms in self._lost_ms_by_id.values())
 
     def _own_if_higher(self, node_id: str) -> None:
-        self._live_share_ms = 0.0
         for customer, owner_id in self._owner_id_by_customer.items():
             if score(node_id, customer) > score(owner_id, customer):
                 self._owner_id_by_customer[customer] = node_id
