--- a/foxtailproxy/customers/allowance.py
+++ b/foxtailproxy/customers/allowance.py
@@ -38,6 +38,9 @@
 """Time by which batched reports arrive late, in milliseconds. The bucket holds as many more tokens
 as are refilled meanwhile, so that a steady use below the rate never finds it empty."""
 
+SPLIT_TOKENS = 3.0
+"""Least number of such tokens, since the regions divide the burst of a small customer."""
+
 LAG_MARGIN_SHARE = 0.25
 OVERDRAFT_MARGIN_SHARE = 0.25
 FIRST_FILL_MARGIN_SHARE = 0.25
@@ -346,7 +349,7 @@
         lag_tokens = rule.rate_per_s * REPORT_LAG_MS / MS_PER_SECOND
         bucket.rule = rule
         bucket.share = self._live_share() * self._region_share(customer, bucket)
-        lag_capacity = min(lag_tokens, margin * LAG_MARGIN_SHARE)
+        lag_capacity = min(max(lag_tokens, SPLIT_TOKENS), margin * LAG_MARGIN_SHARE)
         bucket.capacity = max(1.0, (rule.burst + lag_capacity) * bucket.share)
         bucket.overdraft = min(margin * OVERDRAFT_MARGIN_SHARE, lag_tokens) * bucket.share
         bucket.tokens = min(bucket.tokens, bucket.capacity)
--- a/foxtailproxy/customers/region_shares.py
+++ b/foxtailproxy/customers/region_shares.py
@@ -42,7 +42,7 @@
 """Time after a datagram to a region in which another one to it is not needed, in milliseconds."""
 
 BASE_SHARE = 0.1
-"""Part of the rate that is divided evenly, so that a region without demand can begin."""
+"""Least part of the rate that is divided evenly, so that a region without demand can begin."""
 
 STEADY_SHARE = 0.1
 """Relative change of the demand up to which the last value stands, so that it stays confirmed."""
@@ -124,10 +124,12 @@
         )
         if not heard or demands.own_per_min == UNKNOWN:
             return counts[own_region] / total
-        base = bucket.rule.rate_per_s * SECONDS_PER_MINUTE * BASE_SHARE / len(counts)
-        own = demands.settled_per_min() + base
-        others = sum(heard.values()) + base * len(heard)
-        return (1 - unheard / total) * own / max(own + others, 1e-9)
+        own, others = demands.settled_per_min(), sum(heard.values())
+        rate_per_min = bucket.rule.rate_per_s * SECONDS_PER_MINUTE
+        # The rest of the rate is divided evenly, since the demand of small customers fluctuates.
+        base = max(rate_per_min * BASE_SHARE, rate_per_min - own - others) / len(counts)
+        own_part, other_parts = own + base, others + base * len(heard)
+        return (1 - unheard / total) * own_part / (own_part + other_parts)
 
     def _demands_of(self, customer: int) -> Demands:
         demands = self._demands_by_customer.get(customer)
