--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -174,6 +174,7 @@
             "clients_shed": self._node.client_bounds.memory.shed_count,
             "client_connections": len(self._node.client_bounds.connections),
             "client_connections_closed": self._node.client_bounds.connections.closed_count,
+            **self._node.allowances.counters(),
             **_packet_gauges("sent", self._node.gossip.socket.sent_by_kind),
             **_packet_gauges("skipped", self._node.gossip.socket.skipped_by_kind),
             "members_suspected": self._node.gossip.detector.suspected_count,
--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -33,6 +33,7 @@
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import Match, RuleBook
     from foxtailproxy.config_sync import ConfigSync
+    from foxtailproxy.customers.allowance_client import Allowances
     from foxtailproxy.customers.authentication import NoCustomer
     from foxtailproxy.customers.freshness import ConfigFreshness
     from foxtailproxy.dispatch import Dispatcher
@@ -115,6 +116,7 @@
         dialect: Dialect,
         log_calls: bool,
         freshness: ConfigFreshness | None = None,
+        allowances: Allowances | None = None,
     ) -> None:
         self.clock = clock
         self.pending = 0
@@ -128,6 +130,7 @@
         self._log_calls = log_calls
         self._dialect = dialect
         self._authentication = Authentication(metrics.authentications, freshness)
+        self._allowances = allowances
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Handle one request from a caller."""
@@ -271,6 +274,7 @@
             stream=exchange.body,
             key="" if rule.idempotent else request.key,
             first_send=request.first_send,
+            customer=entry.customer if isinstance(entry, Identified) else None,
             attempt_id=request.attempt_id or new_id(),
         )
 
@@ -355,7 +359,15 @@
         rule_book = self._config_sync.rule_book
         if rule_book is None:
             return Error(NotRun(NotRunReason.NO_CONFIGURATION))
-        return await self._dispatcher.run(call, rule_book)
+        if call.customer is None or self._allowances is None:
+            return await self._dispatcher.run(call, rule_book)
+        drawn = await self._allowances.draw(call.customer, call.attempt_id)
+        if isinstance(drawn, NotRun):
+            return Error(drawn)
+        outcome = await self._dispatcher.run(call, rule_book)
+        if outcome.is_error() and isinstance(outcome.error, NotRun):
+            self._allowances.give_back(drawn)
+        return outcome
 
 
 def failure_for_caller(headers: messages.HeaderList, rejection: NotRun) -> NotRun | Unknown:
--- a/foxtailproxy/customers/freshness.py
+++ b/foxtailproxy/customers/freshness.py
@@ -29,7 +29,7 @@
 
 log = structlog.get_logger()
 
-FRESHNESS_MARK = b"\x05"
+FRESHNESS_MARK = b"\x06"
 """First byte of the datagrams; a gossip packet never begins with it."""
 
 ASKS_PER_LIMIT = 20
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -22,6 +22,7 @@
 from foxtailproxy.config_sync import ConfigSync, IniConfigSource
 from foxtailproxy.constraints.evacuation import EVACUATION_KIND, Evacuations
 from foxtailproxy.customers.freshness import ConfigFreshness
+from foxtailproxy.customers.node_allowances import NodeAllowances
 from foxtailproxy.dialect import FoxtailDialect
 from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.first_announcement import FirstAnnouncement
@@ -205,6 +206,10 @@
         )
         self.config_sync.on_store_answer = self.freshness.store_answered
         socket.on_freshness_datagram = self.freshness.handle_datagram
+        self.allowances = NodeAllowances(
+            clock, self.table, self.settings.customers, rng, socket.send_datagram
+        )
+        socket.on_allowance_datagram = self.allowances.handle_datagram
         self.claims = Claims(
             clock, limits, self.store, self.peers, self.table.local_record, self.store_era
         )
@@ -230,6 +235,7 @@
             dialect,
             self.settings.node.log_calls,
             self.freshness,
+            self.allowances.draws,
         )
         self.peer_server = PeerServer(
             clock,
@@ -451,6 +457,7 @@
         self.router.links = settings.links
         self._configure_freshness(settings.customers)
         self.client_bounds.configure(settings.limits)
+        self.allowances.configure(settings.customers)
         if self.settings.platform.adapter:
             self.retry_budgets.set_limits(self._retry_limits())
         if self.config_sync.rule_book is not None:
@@ -529,6 +536,7 @@
         self.registration.close()
         self.first_announcement.close()
         self.freshness.close()
+        self.allowances.close()
         self.gossip.close()
         self.peer_server.close()
         await DeferredList([maybeDeferred(port.stopListening) for port in self._ports])
@@ -619,6 +627,7 @@
         return self.config_sync.store_lost
 
     def _config_adopted(self, rule_book: RuleBook) -> None:
+        self.allowances.set_customers(rule_book.customers)
         fleet = rule_book.fleet
         if not self.settings.platform.adapter:
             self.retry_budgets.set_limits(RetryLimits(fleet.retry_percent / 100))
@@ -683,6 +692,7 @@
             target_left=record.target_left,
         )
         self.router.update_member(record)
+        self.allowances.update_member(record)
         if record.state is MemberState.dead:
             self.peers.remove_peer(record)
 
