--- a/foxtailproxy/tests/customers.feature
+++ b/foxtailproxy/tests/customers.feature
@@ -5,8 +5,8 @@
   # customers that a caller made up.
   Scenario Outline: A request to the <route> route of the <dialect> dialect with <headers>
     Given a node with the <dialect> dialect and the customers alder and birch
-    When a request to the <route> route arrives with <headers>
-    Then the caller gets status <status>
+    When a request to the <route> route of the entry node arrives with <headers>
+    Then the entry node answers with status <status>
     And the upstream gets the customer <customer> and no key
 
     # alder has the keys k-alder-1 and k-alder-2, birch has k-birch.
@@ -37,32 +37,32 @@
   # Guards against a repeat that is told that a request has not run although an earlier send may have.
   Scenario: A repeated request whose customer's key has been withdrawn has an unknown outcome
     Given a node with the foxtail dialect and the customers alder and birch
-    When a request to the bound route arrives with idempotency-key: i1
-    Then the answer contains unknown; reason=unauthenticated
-    When a request to the bound route arrives with idempotency-key: i1, foxtail-first-send: 1
-    Then the answer contains not-run; reason=unauthenticated
+    When a request to the bound route of the entry node arrives with idempotency-key: i1
+    Then the answer has status 401 and contains unknown; reason=unauthenticated
+    When a request to the bound route of the entry node arrives with idempotency-key: i1, foxtail-first-send: 1
+    Then the answer has status 401 and contains not-run; reason=unauthenticated
 
   # Guards against a change of behaviour where a configuration has no customers.
   Scenario: Without customers, requests pass with the headers that their caller sent
     Given a node with the platform dialect and no customers
-    When a request to the bound route arrives with authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
-    Then the caller gets status 200
-    And the upstream gets authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
-    And the call's tenant is t
+    When a request to the bound route of the entry node arrives with authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
+    Then the entry node answers with status 200
+    And these headers reach the upstream: authorization: Bearer x, x-tenant: t, x-foxtailproxy-tenant: u
+    And the tenant at the entry node is t
 
   # Guards against 401 from a node that does not know which keys there are.
   Scenario: A node without a configuration answers 503
     Given a node with the platform dialect and no configuration
-    When a request to the bound route arrives with accept: any
-    Then the caller gets status 503
+    When a request to the bound route of the entry node arrives with accept: any
+    Then the entry node answers with status 503
 
   # Guards against requests that run by a key which was withdrawn before they were complete.
   Scenario Outline: The key <key> is <change> while a request's body arrives
     Given a node with the platform dialect and the customers alder and birch
     When a request with the key <key> arrives without the end of its body
     And a configuration is adopted in which <customers>
-    And the body ends
-    Then the caller gets status <status>
+    And the rest of the body arrives at the entry node
+    Then the entry node answers with status <status>
     And the upstream gets the customer <customer> and no key
 
     Examples:
@@ -74,10 +74,10 @@
   # Guards against a request that runs by a key which was withdrawn while its claim was acquired.
   Scenario: A key is withdrawn while a request waits for its idempotency key
     Given a node with the foxtail dialect and the customers alder and birch
-    When a request to the bound route arrives with authorization: Bearer k-alder-1, idempotency-key: i1
+    When a request to the bound route of the entry node arrives with authorization: Bearer k-alder-1, idempotency-key: i1
     And a configuration is adopted in which alder has k-alder-2
-    And the claim is acquired
-    Then the caller gets status 401
+    And the entry node acquires the claim
+    Then the entry node answers with status 401
     And the upstream gets the customer - and no key
 
   # Guards against requests decided by another customer's key, or by an older version, under load.
@@ -90,7 +90,7 @@
   # Guards against terms of a customer that are ignored, or wider than those of the route.
   Scenario Outline: A route with priority 5 and regions <route> for a customer with <priority> and <customer>
     When the rule of a route with regions <route> is computed for priority <priority> and regions <customer>
-    Then it has priority <result>, weight <weight> and regions <regions>
+    Then the effective rule has priority <result>, weight <weight> and regions <regions>
 
     Examples:
       | route | priority | customer | result | weight | regions |
@@ -114,7 +114,7 @@
   # Guards against nodes that accept withdrawn keys although they cannot know of a newer version.
   Scenario Outline: Of 12 nodes with fail-closed <setting>, <nodes> reject after <fault>
     Given 12 nodes with the platform's configuration, and fail-closed <setting>
-    When <fault>, and <ms> ms pass
+    When for <ms> ms the fleet meets this: <fault>
     Then <nodes> nodes reject requests that need a key
 
     Examples:
@@ -150,7 +150,7 @@
 
   Scenario: A key is withdrawn while both watchers have lost the store
     Given 6 nodes with the platform's configuration, and fail-closed on
-    When the store is cut off from 2, and 0 ms pass
+    When for 0 ms the fleet meets this: the store is cut off from 2
     And the key of version 7 is withdrawn by version 8, and the store answers
     Then all nodes know just the key of version 8 within 2500 ms
     And 0 nodes reject requests that need a key
--- a/foxtailproxy/tests/steps/customers.py
+++ b/foxtailproxy/tests/steps/customers.py
@@ -185,7 +185,7 @@
     assert [call.tenant for call in context.node.calls] == expected
 
 
-@when("a request to the {route} route arrives with {headers}")
+@when("a request to the {route} route of the entry node arrives with {headers}")
 def step_request(context: Any, route: str, headers: str) -> None:
     context.node.send(route, headers)
 
@@ -201,23 +201,23 @@
     context.node.rule_book = rule_book_with({customer: [key]})
 
 
-@when("the body ends")
+@when("the rest of the body arrives at the entry node")
 def step_body_ends(context: Any) -> None:
     context.node.connection.dataReceived(b"end")
 
 
-@when("the claim is acquired")
+@when("the entry node acquires the claim")
 def step_claim_acquired(context: Any) -> None:
     assert not context.node.transport.value()
     context.node.acquired.callback(None)
 
 
-@then("the caller gets status {status:d}")
+@then("the entry node answers with status {status:d}")
 def step_status(context: Any, status: int) -> None:
     assert context.node.status == status, context.node.transport.value()
 
 
-@then("the answer contains {text}")
+@then("the answer has status 401 and contains {text}")
 def step_answer_contains(context: Any, text: str) -> None:
     answer = context.node.transport.value().decode()
     assert text in answer and context.node.status == 401, answer
@@ -242,7 +242,7 @@
     assert not any(key == b"authorization" or b"Bearer" in value for key, value in sent), sent
 
 
-@then("the upstream gets {headers}")
+@then("these headers reach the upstream: {headers}")
 def step_upstream_gets(context: Any, headers: str) -> None:
     sent = context.node.dialect.upstream_headers(context.node.calls[0], 500, "i-1")
     for header in headers.split(", "):
@@ -250,7 +250,7 @@
         assert (name.encode(), value.encode()) in sent, sent
 
 
-@then("the call's tenant is {tenant}")
+@then("the tenant at the entry node is {tenant}")
 def step_call_tenant(context: Any, tenant: str) -> None:
     assert context.node.calls[0].tenant == tenant
 
@@ -269,7 +269,7 @@
     context.rule = effective_rule(rule, terms)
 
 
-@then("it has priority {priority}, weight {weight} and regions {regions}")
+@then("the effective rule has priority {priority}, weight {weight} and regions {regions}")
 def step_effective_rule_has(context: Any, priority: str, weight: str, regions: str) -> None:
     rule = context.rule
     actual = ("none", "none", "none")
@@ -372,8 +372,8 @@
         node.link.set_fault("cut off")
 
 
-@when("{fault}, and {ms:d} ms pass")
-def step_fault(context: Any, fault: str, ms: int) -> None:
+@when("for {ms:d} ms the fleet meets this: {fault}")
+def step_fault(context: Any, ms: int, fault: str) -> None:
     nodes = context.nodes
     if fault == "one node is cut off from all":
         nodes[-1].running = False
