--- a/foxtailproxy/customers/allowance.py
+++ b/foxtailproxy/customers/allowance.py
@@ -18,6 +18,7 @@
 
     from foxtailproxy.clock import Clock
     from foxtailproxy.models.messages import AllowanceUse
+    from foxtailproxy.customers.allowance_client import CustomerLimit
     from foxtailproxy.models.rules import CustomerRule
 
     Address = tuple[str, int]
@@ -91,7 +92,7 @@
     overage: float = 0.0
     slack: float = 0.0
 
-    def margin(self, rule: CustomerRule) -> float:
+    def margin(self, rule: CustomerLimit) -> float:
         """Return the requests that one window may have beyond the allowance."""
         allowance = rule.rate_per_s * self.window_ms / MS_PER_SECOND + rule.burst
         return allowance * self.overage + self.slack
