--- a/foxtailproxy/customers/allowance.py
+++ b/foxtailproxy/customers/allowance.py
@@ -17,8 +17,8 @@
     from collections.abc import Callable, Iterable
 
     from foxtailproxy.clock import Clock
-    from foxtailproxy.models.messages import AllowanceUse
     from foxtailproxy.customers.allowance_client import CustomerLimit
+    from foxtailproxy.models.messages import AllowanceUse
     from foxtailproxy.models.rules import CustomerRule
 
     Address = tuple[str, int]
