--- a/foxtailproxy/commands/explain.py
+++ b/foxtailproxy/commands/explain.py
@@ -31,6 +31,8 @@
     NotRunReason.UNKNOWN_SERVICE: "no route of the configuration matches the host and path",
     NotRunReason.NO_CONFIGURATION: "the node had no configuration yet",
     NotRunReason.NO_TARGET: "the node knew no live target of the service",
+    NotRunReason.NO_ALLOWED_TARGET: "no target in the allowed regions was usable or had room",
+    NotRunReason.EVACUATED: "the target's data centre was evacuated",
     NotRunReason.TARGET_DOWN: "the upstream accepted no connection",
     NotRunReason.LEAVING: "the upstream or its node was leaving",
     NotRunReason.QUEUE_FULL: "the queue of the class was full",
