Write the record until the store has it, and the newest claims first, after a restore

Cause, found by reading: reading an older record after a conflict counted as having written the own one; claims were written one after another, oldest first, so that the latest ones could take longer than the grace time. Evidence: evacuation, at_most_once and config_watchers features, 55 passed, 0 failed.

--- a/foxtailproxy/claims.py
+++ b/foxtailproxy/claims.py
@@ -15,7 +15,7 @@
 import msgspec
 import structlog
 from expression import Error, Ok, Result
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 
 from foxtailproxy.call import Call, new_id
 from foxtailproxy.http.errors import HttpError
@@ -41,6 +41,9 @@
 """Age up to which a claim is written again after the store has come back from an older copy, which
 is some seconds old."""
 
+REWRITES_AT_ONCE = 16
+"""Claims that are written again at the same time, each on a connection of its own."""
+
 CLAIM_RETENTION_MS = 600_000
 """Time for which the holder of a claim keeps its outcome without the answer, in milliseconds."""
 
@@ -180,15 +183,28 @@
 
     async def _rewrite_held(self) -> None:
         now_ms = self._clock.now_ms()
+        # The newest first: the copy lacks the last seconds.
         held_by_path = {
-            path: held for path, held in self._held_by_path.items() if held.until_ms > now_ms
+            path: held
+            for path, held in reversed(self._held_by_path.items())
+            if held.until_ms > now_ms
         }
-        written = [
-            (await self._store.create(path, held.value)).is_ok()
-            for path, held in held_by_path.items()
-        ]
-        if written:
-            log.info("claims_rewritten", written=sum(written), kept=len(written) - sum(written))
+        paths = list(held_by_path)
+        written_count = 0
+        for start in range(0, len(paths), REWRITES_AT_ONCE):
+            writes: list[Deferred[bool]] = [
+                ensureDeferred(
+                    self._write_again(path, held_by_path[path].value)  # type: ignore[arg-type]
+                )
+                for path in paths[start : start + REWRITES_AT_ONCE]
+            ]
+            written_count += sum(await gatherResults(writes))
+        if paths:
+            kept_count = len(paths) - written_count
+            log.info("claims_rewritten", written=written_count, kept_or_failed=kept_count)
+
+    async def _write_again(self, path: str, value: str) -> bool:
+        return (await self._store.create(path, value)).is_ok()
 
     async def _write_claim(
         self, path: str, call: Call, version: int | None
--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -145,8 +145,7 @@
         self._replaced_ids: set[str] = set()
         self._watching = False
         self._watcher_check: LoopingCall | None = None
-        self._era = era or StoreEra(clock)
-        self._kind_watch = KindWatch(store, self._source.kind, self._era, self)
+        self._kind_watch = KindWatch(store, self._source.kind, era or StoreEra(clock), self)
         self._other_watches = other_watches
         self._followed: list[KindWatch] = []
         self._pending_fetches: set[tuple[int, str]] = set()
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -233,10 +233,12 @@
         failures = 0
         # All nodes see the rise at about the same time.
         await self._clock.sleep(self._rng.random() * MAX_REWRITE_DELAY_MS)
-        while not self._closed and not self._removed and self._may_be_lost:
-            if not await self.write():
-                failures += 1
-                await self._clock.sleep(self.retry_delay_ms(failures))
+        while not self._closed and not self._removed:
+            # A rise during the write may have undone it.
+            if await self.write() and not self._may_be_lost:
+                break
+            failures += 1
+            await self._clock.sleep(self.retry_delay_ms(failures))
         self._rewrites = False
         local = self._table.local_record
         log.info(
