Do not cut a body that waits for its 100 Continue

Cause: a body must progress within idle_time_ms, but a pipelined request that waits for an earlier one gets its 100 Continue only when it is served.

Change: the time starts anew while the client waits for the node.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -534,6 +534,13 @@
     def _stop_timer(self) -> None:
         self._timeout_at_ms = 0.0
 
+    def _waits_for_node(self) -> bool:
+        """Return whether the client waits for the node to read, or for its `100 Continue`."""
+        exchange = self._receiving
+        if exchange is not None and exchange.expects_continue and not exchange.serving:
+            return True
+        return bool(self._pause_reasons) and (self._in_head or exchange is not None)
+
     def check_timeout(self, now_ms: float) -> None:
         """Close the connection where its header or idle timeout has expired."""
         if self._bounds is not None and self in self.factory.connections:
@@ -543,8 +550,8 @@
             return
         if not self._timeout_at_ms or now_ms < self._timeout_at_ms or self._closed:
             return
-        if self._pause_reasons and (self._in_head or self._receiving is not None):
-            # The client cannot complete the request while the connection is not read.
+        if self._waits_for_node():
+            # The client cannot complete the request meanwhile.
             self._start_timer(
                 self.limits.header_time_ms if self._in_head else self.limits.idle_time_ms
             )
--- a/foxtailproxy/tests/steps/client_limits.py
+++ b/foxtailproxy/tests/steps/client_limits.py
@@ -38,6 +38,10 @@
     "a body in chunks of 1 byte": [CHUNKED, b"1\r\n.\r\n" * 1000, b"0\r\n\r\n"],
     "a body with a byte each 14 s": [TEN_BYTES, *[14_000, b"."] * 10],
     "half a body and nothing for 16 s": [TEN_BYTES, b".....", 16_000],
+    "a body that waits for a request before it": [
+        RUNNING + TEN_BYTES.replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n"),
+        16_000,
+    ],
     "a body and a trailer without an end": [CHUNKED, b"1\r\n.\r\n0\r\na: ", *[b"." * 40_000] * 2],
 }
 """What a client sends, with the milliseconds that it waits."""
@@ -110,6 +114,11 @@
     assert context.bounds.memory.total_bytes < 20_000, context.bounds.memory.total_bytes
 
 
+@then("the limited client reads nothing")
+def step_still_waits(context: Any) -> None:
+    assert (context.transport.value(), context.transport.close_kind) == (b"", "")
+
+
 @then("the limited client is disconnected")
 def step_disconnected(context: Any) -> None:
     assert (context.transport.value(), context.transport.close_kind) == (b"", "cut")
