Fail a send whose answer has a status that does not exist

Cause: the parser passes on the statuses 000 to 999. Those below 200 counted as interim, so that a call with an answer of 000, 001, 099 or 199 with a body waited until its deadline; 600 and 999 were passed on as answers. The store's client took every status below 300 for success, so 000 as a read value.

Change: a status below 100 or above 599, 101, and an interim one that declares a body end the exchange as InvalidStatus, as does one that the parser rejects. The send has run and failed: unknown, without a crash check, a query at the peer or a second send on the same budget, and the connection is aborted. Interim answers without a body, such as the heartbeats between nodes, stay interim.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -21,6 +21,7 @@
     ConnectionLost,
     ExchangeCancelled,
     HttpError,
+    InvalidStatus,
     MalformedResponse,
     StrayResponse,
 )
@@ -300,8 +301,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._message_complete:
-                cause = error.__context__
-                self._fail(cause if isinstance(cause, HttpError) else MalformedResponse())
+                self._fail(_http_error(error))
             self.abort()
             return
         finally:
@@ -382,10 +382,18 @@
     def on_headers_complete(self) -> None:
         """Deliver the response, unless it is interim or late.
 
-        Raises `StrayResponse` if a part of another response is at its start.
+        Raises `InvalidStatus` for a status that no response may have, and `StrayResponse` if a part
+        of another response is at its start.
         """
         self._head_complete = True
         status = self._parser.get_status_code()
+        if not messages.is_valid_response(status, self._headers):
+            log.warning(
+                "response_status_invalid",
+                status=status,
+                earlier_exchanges=self.trace.earlier_exchanges,
+            )
+            raise InvalidStatus
         if status < 200 or self._response_deferred is None:
             return
         head = messages.ResponseHead(status, self._reason, self._headers)
@@ -588,3 +596,13 @@
             # The transport reports the end of the connection in a later iteration of the reactor.
             self.closed = True
             self.transport.abortConnection()
+
+
+def _http_error(error: Exception) -> HttpError:
+    """Return the error of an exchange whose response the parser rejects."""
+    if isinstance(error.__context__, HttpError):
+        return error.__context__
+    if isinstance(error, httptools.HttpParserInvalidStatusError):
+        log.warning("response_status_invalid", status=-1, error=str(error))
+        return InvalidStatus()
+    return MalformedResponse()
--- a/foxtailproxy/http/errors.py
+++ b/foxtailproxy/http/errors.py
@@ -43,6 +43,13 @@
     """Received bytes that are not an HTTP response."""
 
 
+class InvalidStatus(MalformedResponse):
+    """Response whose status does not exist, or an interim one with a body or for an upgrade.
+
+    The server runs, and has run the request.
+    """
+
+
 class StrayResponse(HttpError):
     """Response to another request that cannot be separated from the expected one."""
 
--- a/foxtailproxy/http/messages.py
+++ b/foxtailproxy/http/messages.py
@@ -25,6 +25,12 @@
 
 BODILESS_STATUSES = frozenset((204, 304))
 
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+
+SWITCHING_PROTOCOLS = 101
+
 HeaderList = list[tuple[bytes, bytes]]
 """Header names in lower case with their values, in the order received."""
 
@@ -89,6 +95,19 @@
     return None
 
 
+def is_valid_response(status: int, headers: HeaderList) -> bool:
+    """Return whether a response to a request without an upgrade may have this status and framing.
+
+    An interim response has no body.
+    """
+    if status == SWITCHING_PROTOCOLS or not MIN_STATUS <= status <= MAX_STATUS:
+        return False
+    if status >= MIN_FINAL_STATUS:
+        return True
+    length = get_header(headers, b"content-length")
+    return (length is None or not int(length)) and not get_header(headers, b"transfer-encoding")
+
+
 def reason_phrase(status: int) -> bytes:
     """Return the standard reason phrase of `status`."""
     try:
--- a/foxtailproxy/peer_client.py
+++ b/foxtailproxy/peer_client.py
@@ -17,6 +17,7 @@
     ConnectFailed,
     ExchangeCancelled,
     HttpError,
+    InvalidStatus,
     MalformedResponse,
     ReadTimeout,
 )
@@ -162,6 +163,9 @@
                 peer=member.node_id,
                 error=type(error).__name__,
             )
+            if isinstance(error, InvalidStatus):
+                # The call has run, and what the peer passes on is not its answer.
+                return Error(Unknown(UnknownReason.PEER_LOST))
             return await self._recover(call, member, send)
 
     def cancel(self, send_id: str) -> None:
--- a/foxtailproxy/platform/store_client.py
+++ b/foxtailproxy/platform/store_client.py
@@ -267,7 +267,7 @@
 
 def _to_result(status: int, path: str, body: bytes) -> Result[bytes, StoreFailure]:
     """Convert a status and body of the store into a result."""
-    if status < 300:
+    if 200 <= status < 300:
         return Ok(body)
     if status == 404:
         return Error(Missing())
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -24,6 +24,7 @@
     DeadlineExceeded,
     ExchangeCancelled,
     HttpError,
+    InvalidStatus,
     StrayResponse,
 )
 from foxtailproxy.http.messages import RequestHead, ResponseHead
@@ -428,6 +429,9 @@
             )
         except HttpError as error:
             failure = await self._handle_exchange_error(active_call, error)
+            if isinstance(error, InvalidStatus):
+                # It is an answer: the upstream has not closed a connection that was idle.
+                return Error(failure)
             if was_idle and failure.reason is UnknownReason.UPSTREAM_LOST and not failure.crashed:
                 return await self._retry_on_new_connection(active_call, failure)
             return Error(failure)
@@ -540,7 +544,7 @@
             earlier_exchanges=trace.earlier_exchanges,
             skipped_responses=trace.skipped_responses,
         )
-        if isinstance(error, StrayResponse):
+        if isinstance(error, StrayResponse | InvalidStatus):
             # The upstream runs.
             return Unknown(UnknownReason.UPSTREAM_LOST)
         crashed = await self._crash_watch.check_crash(active_call.call)
--- a/foxtailproxy/tests/store_answers.feature
+++ b/foxtailproxy/tests/store_answers.feature
@@ -139,3 +139,17 @@
       | read claims/a   | value 1      | without a length | stalls                   | Unreachable  |
       | delete claims/a | nothing      | with a length    | stalls                   | Unreachable  |
       | list members    | listing of 3 | in chunks        | stalls                   | Unreachable  |
+
+  # Guards against an answer with a status that does not exist, which is taken for that of a store that has done its part.
+  Scenario Outline: The call "<call>" is answered with status <status>
+    When the call "<call>" gets the answer "status <status>" with a length, which is sent once
+    Then the calls return only "Unreachable"
+
+    Examples:
+      | call              | status |
+      | read claims/a     | 000    |
+      | read claims/a     | 099    |
+      | read claims/a     | 199    |
+      | read claims/a     | 600    |
+      | create claims/a 1 | 000    |
+      | delete claims/a   | 099    |
--- a/foxtailproxy/tests/store_scripts.py
+++ b/foxtailproxy/tests/store_scripts.py
@@ -19,6 +19,10 @@
     "Conflict": b"409 Conflict",
     "HistoryGone": b"410 Gone",
     "Refused": b"503 Service Unavailable",
+    **{
+        f"status {status}": b"%s Invalid" % status.encode()
+        for status in ("000", "099", "199", "600")
+    },
     **{
         f"redirect {status}": b"%d Redirect\r\nLocation: /objects/claims/a" % status
         for status in (301, 302, 303, 307)
