--- a/foxtailproxy/commands/explain.py
+++ b/foxtailproxy/commands/explain.py
@@ -44,6 +44,7 @@
     NotRunReason.UPSTREAM_REFUSED: "the upstream rejected it",
     NotRunReason.FASTER_ELSEWHERE: "handed back before it ran: another target would answer sooner",
     NotRunReason.QUARANTINED: "the same request had crashed upstreams",
+    NotRunReason.ALLOWANCE_EXCEEDED: "its customer sent more than its rate and burst allow",
     UnknownReason.UPSTREAM_LOST: "the connection to the upstream broke after the request was sent",
     UnknownReason.PEER_LOST: "the target's node was lost after the request was sent",
     UnknownReason.ANSWER_CUT: "the answer was incomplete",
--- a/foxtailproxy/customers/region_shares.py
+++ b/foxtailproxy/customers/region_shares.py
@@ -38,6 +38,9 @@
 EXCHANGE_MS = 1000.0
 """Interval in milliseconds at which the demand is sent to the other regions."""
 
+REFRESH_MS = 4000.0
+"""Time in milliseconds after which a demand is sent again that has not changed."""
+
 REPLY_MS = 700.0
 """Time after a datagram to a region in which another one to it is not needed, in milliseconds."""
 
@@ -45,7 +48,7 @@
 """Least part of the rate that is divided evenly, so that a region without demand can begin."""
 
 STEADY_SHARE = 0.1
-"""Relative change of the demand up to which the last value stands, so that it stays confirmed."""
+"""Change of the demand, relative to it and to the rate, up to which the last value stands."""
 
 LEARNING_MS = 3000.0
 """Time in milliseconds in which a new owner learns the demand; until then it keeps to that which
@@ -156,18 +159,34 @@
             previous = demands.own_per_min
             if self._measure(demands, bucket) or previous:
                 active.append(customer)
-        self._send_to_regions(active, reply=True)
+        self._send_to_regions([item for item in active if self._is_due(item)], reply=True)
         return bool(active)
 
-    def _measure(self, demands: Demands, bucket: Bucket) -> int:
-        """Take the present demand of this region as that which is sent to the others."""
+    def _is_due(self, customer: int) -> bool:
+        """Return whether a region does not have the demand, or has not heard of it for long."""
+        demands = self._demands_by_customer[customer]
+        regions = {owner.region for owner in self._owners.peer_owners_of(customer)}
+        confirmed = demands.confirmed_by_region
+        if any(confirmed.get(region) != demands.own_per_min for region in regions):
+            return True
+        since_ms = self._clock.now_ms() - REFRESH_MS
+        return any(demands.sent_ms_by_region.get(region, 0) < since_ms for region in regions)
+
+    def _measure(self, demands: Demands, bucket: Bucket) -> bool:
+        """Take the present demand of this region to be sent to the others, unless it is steady.
+
+        Return whether there is any.
+        """
+        own_per_min = demands.own_per_min
         now_ms = self._clock.now_ms()
         measured_per_min = math.ceil(bucket.demand_per_s(now_ms) * SECONDS_PER_MINUTE)
         if now_ms - demands.began_ms < LEARNING_MS:
             demands.own_per_min = demands.inherited_per_min
-        elif abs(measured_per_min - demands.own_per_min) > STEADY_SHARE * demands.own_per_min:
-            demands.own_per_min = measured_per_min
-        return demands.own_per_min
+        else:
+            steady = STEADY_SHARE * max(bucket.rule.rate_per_s * SECONDS_PER_MINUTE, own_per_min)
+            if abs(measured_per_min - own_per_min) > steady or own_per_min == UNKNOWN:
+                demands.own_per_min = measured_per_min
+        return measured_per_min > 0 or demands.own_per_min > 0
 
     def _send_to_regions(self, customers: list[int], reply: bool) -> None:
         customers_by_owner: dict[str, list[int]] = defaultdict(list)
