--- a/foxtailproxy/commands/explain.py
+++ b/foxtailproxy/commands/explain.py
@@ -51,6 +51,7 @@
     NotRunReason.NO_ALLOWED_TARGET: "no target in the regions that its route and customer allow",
     NotRunReason.CONFIGURATION_STALE: "the node could not know whether a key had been withdrawn",
     NotRunReason.QUARANTINED: "the same request had crashed upstreams",
+    NotRunReason.ALLOWANCE_EXCEEDED: "its customer sent more than its rate and burst allow",
     UnknownReason.UPSTREAM_LOST: "the connection to the upstream broke after the request was sent",
     UnknownReason.PEER_LOST: "the target's node was lost after the request was sent",
     UnknownReason.ANSWER_CUT: "the answer was incomplete",
