Give inner calls precedence, more targets and their deadline

A call that an upstream makes while it runs a request was rejected as overloaded as soon as it would miss its objective, or by two full targets, and its request then failed with 500 after it had taken a slot. A call whose attempt id is PARENT.CHILD, where PARENT runs at the node's own target, now gets the depth of its parent plus 1. At a target, inner calls go before new ones of the same or lower priority; from their third send on they wait up to their deadline less the run time, and up to 4 targets may reject them for lack of room.

--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -17,6 +17,7 @@
 from foxtailproxy.outcome import NotRun, NotRunReason
 from foxtailproxy.speed import RunTimes, Slowness
 from foxtailproxy.target_side.cold_start import ColdStart
+from foxtailproxy.target_side.inner_calls import is_inner, waits_for_deadline
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +38,10 @@
 """Half-life of the typical service time of a target that runs nothing, in milliseconds."""
 
 
+INNER_PREFIX = "inner "
+"""Prefix of the key of a class's queue for inner calls."""
+
+
 @dataclass(eq=False, slots=True)
 class Ticket:
     """Request of a call for a slot; exactly one of its two callbacks is called, once.
@@ -61,9 +66,13 @@
 
 @dataclass(eq=False, slots=True)
 class ClassQueue:
-    """Waiting calls of one class by tenant, with its weight, virtual time and mean service time."""
+    """Waiting calls of one class by tenant, with its weight, virtual time and mean service time.
+
+    They are the `inner` calls of the class, which upstreams make, or its other calls.
+    """
 
     weight: int
+    inner: bool = False
     virtual_time_ms: float = 0.0
     service_ms: float = INITIAL_SERVICE_MS
     size: int = 0
@@ -100,6 +109,11 @@
             del self.by_tenant[ticket.call.tenant]
         return True
 
+    @property
+    def priority(self) -> int:
+        """Priority of the next ticket."""
+        return self.peek().call.rule.priority
+
     def longest_tenant_queue(self) -> deque[Ticket]:
         """Return the waiting calls of the tenant that has the most."""
         return max(self.by_tenant.values(), key=len)
@@ -180,11 +194,13 @@
 
         While starts are limited, it is that of each class that ever had a call.
         """
-        return {
-            key.rpartition("/")[2]: self._expected_wait_ms(queue)
-            for key, queue in self._by_class.items()
-            if queue.size or self.cold.limiting
-        }
+        wait_by_class: dict[str, float] = {}
+        for key, queue in self._by_class.items():
+            if queue.size or self.cold.limiting:
+                name = key.rpartition("/")[2]
+                wait_ms = self._expected_wait_ms(queue)
+                wait_by_class[name] = max(wait_ms, wait_by_class.get(name, 0.0))
+        return wait_by_class
 
     @property
     def idle(self) -> bool:
@@ -258,10 +274,12 @@
         self._admit_waiting()
 
     def _queue_of(self, call: Call) -> ClassQueue:
-        queue = self._by_class.get(call.class_key)
+        inner = is_inner(call)
+        key = INNER_PREFIX + call.class_key if inner else call.class_key
+        queue = self._by_class.get(key)
         if queue is None:
-            queue = ClassQueue(call.rule.weight)
-            self._by_class[call.class_key] = queue
+            queue = ClassQueue(call.rule.weight, inner)
+            self._by_class[key] = queue
         queue.weight = call.rule.weight
         return queue
 
@@ -327,7 +345,12 @@
             self._start(ticket, queue)
 
     def _would_miss_objective(self, call: Call) -> bool:
-        """Return whether a call that waited would end after its objective."""
+        """Return whether a call that waited would end after its objective.
+
+        For an inner call that other targets rejected its deadline counts.
+        """
+        if waits_for_deadline(call):
+            return call.remaining_ms(self._clock) < self.expected_run_ms(call)
         if not call.rule.objective_ms:
             return False
         return call.objective_left_ms(self._clock) < self.expected_run_ms(call)
@@ -336,6 +359,11 @@
         ready = [q for q in self._by_class.values() if q.size and self._may_run(q.peek())]
         if not ready:
             return None
+        inner_priorities = [q.priority for q in ready if q.inner]
+        if inner_priorities:
+            # A request that already runs elsewhere waits for an inner call.
+            least = max(inner_priorities)
+            ready = [q for q in ready if q.inner or q.priority > least]
         if self.fair_queueing:
             return min(ready, key=lambda queue: queue.virtual_time_ms)
         return min(ready, key=lambda queue: queue.peek().arrived_ms)
@@ -346,7 +374,7 @@
         rule = ticket.call.rule
         wait_ms = self._expected_wait_ms(queue)
         if wait_ms > self._max_useful_wait_ms(ticket.call) and not self._shed_lower_priority(
-            rule.priority
+            rule.priority, queue.inner
         ):
             if self.cold.limiting and self._cold_wait_ms(queue) >= wait_ms:
                 self.cold.rejections += 1
@@ -359,6 +387,8 @@
     def _max_useful_wait_ms(self, call: Call) -> float:
         """Return the longest wait after which the call is still worth a slot, in ms."""
         max_wait_ms = min(call.rule.hold_ms, call.remaining_ms(self._clock))
+        if waits_for_deadline(call):
+            return min(max_wait_ms, call.remaining_ms(self._clock) - self.expected_run_ms(call))
         if not call.rule.objective_ms:
             return max_wait_ms
         # Mean time until a slot becomes free.
@@ -382,29 +412,39 @@
     def _expected_wait_ms(self, queue: ClassQueue) -> float:
         share = self.slots * self._weight_share(queue)
         wait_ms = queue.size * queue.service_ms / max(share, 0.01)
+        if not queue.inner:
+            inner_ms = sum(q.size * q.service_ms for q in self._by_class.values() if q.inner)
+            wait_ms += inner_ms / max(1, self.slots)
         return max(wait_ms, self._cold_wait_ms(queue)) if self.cold.limiting else wait_ms
 
     def _weight_share(self, queue: ClassQueue) -> float:
-        total_weight = sum(q.weight for q in self._by_class.values() if q.size or q is queue)
+        total_weight = sum(
+            q.weight
+            for q in self._by_class.values()
+            if (q.size or q is queue) and q.inner == queue.inner
+        )
         return queue.weight / total_weight
 
     def _cold_wait_ms(self, queue: ClassQueue) -> float:
-        return self.cold.wait_ms(min(self._queued, queue.size / self._weight_share(queue)))
+        ahead = queue.size / self._weight_share(queue)
+        if not queue.inner:
+            ahead += sum(q.size for q in self._by_class.values() if q.inner)
+        return self.cold.wait_ms(min(self._queued, ahead))
 
-    def _shed_lower_priority(self, priority: int) -> bool:
+    def _shed_lower_priority(self, priority: int, inner: bool) -> bool:
         """Shed a waiting call of the lowest-priority class below `priority`, if there is one.
 
-        The newest call of the tenant with the most waiting calls is rejected. Return whether a call
-        was shed.
+        An `inner` call also sheds others of its priority. The newest call of the tenant with the
+        most waiting calls is rejected, inner calls last. Return whether a call was shed.
         """
         lower_queues = [
             queue
             for queue in self._by_class.values()
-            if queue.size and queue.peek().call.rule.priority < priority
+            if queue.size and queue.priority < priority + (inner and not queue.inner)
         ]
         if not lower_queues:
             return False
-        queue = min(lower_queues, key=lambda queue: queue.peek().call.rule.priority)
+        queue = min(lower_queues, key=lambda queue: (queue.inner, queue.priority))
         self._reject(queue.longest_tenant_queue()[-1], NotRunReason.OVERLOADED)
         return True
 
--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -28,6 +28,8 @@
 from foxtailproxy.wire import FIRST_SEND_HEADER, KEY_HEADER
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from foxtailproxy.claims import Claim, Claims
     from foxtailproxy.clock import Clock
     from foxtailproxy.config.rules import Match
@@ -114,6 +116,7 @@
     ) -> None:
         self.clock = clock
         self.pending = 0
+        self.inner_depth_of: Callable[[str], int] = lambda attempt_id: 0
         self._accept_all_until_ms = math.inf
         self._stop_ms = math.inf
         self._limits = limits
@@ -246,7 +249,7 @@
             deadline_ms=received_ms + min(rule.deadline_ms, timeout_ms),
             caller_deadline_ms=received_ms + timeout_ms,
             received_ms=received_ms,
-            depth=request.depth + 1,
+            depth=max(request.depth + 1, self.inner_depth_of(request.attempt_id)),
             payload=payload,
             stream=exchange.body,
             key="" if rule.idempotent else request.key,
--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -33,6 +33,7 @@
 )
 from foxtailproxy.routing import LOCAL_ID, Choice, LocalChoice, PeerChoice
 from foxtailproxy.target_policy import RUN_AT_ONCE
+from foxtailproxy.target_side.inner_calls import is_inner
 
 if TYPE_CHECKING:
     from typing import Any
@@ -54,6 +55,9 @@
 MAX_REJECTIONS = 2
 """Maximum rejections of one call for lack of room: if two targets are full, the service is full."""
 
+MAX_INNER_REJECTIONS = 4
+"""The same for an inner call, whose loss makes the request fail that an upstream runs already."""
+
 MAX_SENDS = 10
 """Maximum sends of one call, including those that a target declines."""
 
@@ -211,10 +215,11 @@
         self, call: Call, rule_book: RuleBook, progress: CallProgress
     ) -> Outcome:
         outcome: Outcome = Error(NotRun(NotRunReason.NO_TARGET))
+        max_rejections = MAX_INNER_REJECTIONS if is_inner(call) else MAX_REJECTIONS
         while progress.sends < MAX_SENDS:
             if (
                 progress.possible_runs >= call.rule.attempts
-                or progress.rejections >= MAX_REJECTIONS
+                or progress.rejections >= max_rejections
             ):
                 break
             if progress.sends and not self._may_retry(call, outcome, rule_book, progress):
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -199,6 +199,7 @@
             dialect,
             self.settings.node.log_calls,
         )
+        self.caller_server.inner_depth_of = self.target.inner_depth
         self.peer_server = PeerServer(
             clock,
             limits,
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -43,6 +43,7 @@
     reached_upstream,
 )
 from foxtailproxy.target_policy import RUN_AT_ONCE
+from foxtailproxy.target_side.inner_calls import inner_depth
 from foxtailproxy.target_side.refusals import RefusalGuard
 from foxtailproxy.upstream_process import LeftProcesses, UpstreamProcess, is_stale, same_process
 
@@ -397,6 +398,11 @@
         """Return the factor by which work at the upstream is expected to take longer than usual."""
         return self.admission.expected_slowness()
 
+    def inner_depth(self, attempt_id: str) -> int:
+        """Return the depth of a call that the upstream makes for one that it runs; 0 for others."""
+        running = (active.call for active in self._active_by_send.values() if active.ticket.running)
+        return inner_depth(attempt_id, running)
+
     def is_idempotent(self, send_id: str) -> bool:
         """Return whether a send that waits or runs here is of an idempotent call."""
         active_call = self._active_by_send.get(send_id)
--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -26,6 +26,13 @@
       | a lost answer of one that may not run again   | a:upstream-lost b:100ms              | may not | 2        | unknown upstream-lost | 0    | a     | -       |
       | nobody is there                               | -                                    | may     | 2        | not-run no-target     | 0    | -     | -       |
 
+  # The loss of an inner call makes the request fail that an upstream runs already.
+  Scenario: An inner call is rejected for lack of room by up to four targets
+    Given targets a:overloaded b:overloaded c:cold d:queue-full e:100ms
+    When an inner call is dispatched with 2 attempts
+    Then it ends as not-run queue-full after 0 ms
+    And it was sent to a b c d and cancelled at -
+
   Scenario: Both sends are cancelled when the caller disconnects
     Given targets a:never b:never
     When a call that may run again is dispatched with 2 attempts
--- a/foxtailproxy/tests/fakes.py
+++ b/foxtailproxy/tests/fakes.py
@@ -92,7 +92,7 @@
         rule=ClassRule(**rule),
         tenant=fields.pop("tenant", ""),
         deadline_ms=clock.now_ms() + deadline_ms,
-        depth=1,
+        depth=fields.pop("depth", 1),
         payload=b"",
         **fields,
     )
--- a/foxtailproxy/tests/steps/dispatch.py
+++ b/foxtailproxy/tests/steps/dispatch.py
@@ -149,7 +149,7 @@
 
 
 @when("a call that {may} run again is dispatched with {attempts:d} attempts")
-def step_dispatch(context: Any, may: str, attempts: int) -> None:
+def step_dispatch(context: Any, may: str, attempts: int, depth: int = 1) -> None:
     clock, peers = context.clock, context.peers
     router: Any = FakeRouter()
     placement: Any = FakePlacement(clock, list(peers.behaviour_by_target), context.placement_ms)
@@ -174,6 +174,7 @@
         1000,
         rule={"idempotent": may == "may", "attempts": attempts, "objective_ms": 400},
         received_ms=clock.now_ms(),
+        depth=depth,
     )
     context.dispatcher = dispatcher
     context.outcomes = []
@@ -185,6 +186,11 @@
     ensureDeferred(dispatcher.run(context.call, rule_book)).addCallback(record_outcome)
 
 
+@when("an inner call is dispatched with {attempts:d} attempts")
+def step_dispatch_inner(context: Any, attempts: int) -> None:
+    step_dispatch(context, "may", attempts, depth=2)
+
+
 @when("the dispatching node is paused for {ms:d} ms, and the answer has arrived")
 def step_paused_with_answer(context: Any, ms: int) -> None:
     advance(context.clock, ms, step_ms=ms)
