Share a target among the tenants of a class by service time

The tenants of one class took turns by number of calls, and a call was rejected as overloaded by the length of the whole queue of its class. Now the tenant that got the least service time goes next, and the wait of a call counts the turns before it.

--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -1,7 +1,7 @@
 """Admission at a target: exact slots, weighted fair queues, limits on long calls, load shedding.
 
-Classes share the slots in proportion to their weights, measured in service time. The tenants of one
-class take turns. Long calls may hold only a share of the slots.
+Classes share the slots in proportion to their weights, measured in service time, and the tenants of
+one class in equal parts. Long calls may hold only a share of the slots.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from foxtailproxy.speed import RunTimes, Slowness
 from foxtailproxy.target_side.cold_start import ColdStart
 from foxtailproxy.target_side.inner_calls import is_inner, waits_for_deadline
+from foxtailproxy.target_side.tenant_shares import TenantShares
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,7 +48,7 @@
     """Request of a call for a slot; exactly one of its two callbacks is called, once.
 
     `slowness` is the expected slowness of the target when the call started, `sent_ms` the time at
-    which it was sent to the upstream.
+    which it was sent to the upstream, `charged_ms` the service time charged to its tenant.
     """
 
     call: Call
@@ -57,6 +58,7 @@
     started_ms: float = -1.0
     slowness: float = 1.0
     sent_ms: float = -1.0
+    charged_ms: float = 0.0
 
     @property
     def running(self) -> bool:
@@ -77,19 +79,35 @@
     service_ms: float = INITIAL_SERVICE_MS
     size: int = 0
     by_tenant: OrderedDict[str, deque[Ticket]] = field(default_factory=OrderedDict)
+    shares: TenantShares = field(default_factory=TenantShares)
 
     def push(self, ticket: Ticket) -> None:
         """Append a ticket to the queue of its tenant."""
+        if ticket.call.tenant not in self.by_tenant:
+            self.shares.join(ticket.call.tenant)
         self.by_tenant.setdefault(ticket.call.tenant, deque()).append(ticket)
         self.size += 1
 
     def peek(self) -> Ticket:
         """Return the next ticket without removing it."""
-        return next(iter(self.by_tenant.values()))[0]
+        return self.by_tenant[self._next_tenant()][0]
+
+    def _next_tenant(self) -> str:
+        """Return the tenant that got the least service time, of equal ones that next in turn."""
+        if len(self.by_tenant) == 1:
+            return next(iter(self.by_tenant))
+        return min(self.by_tenant, key=self.shares.served_ms)
+
+    def calls_ahead(self, tenant: str) -> int:
+        """Return how many waiting calls would run before one more call of a tenant, by turns."""
+        own = len(self.by_tenant.get(tenant, ()))
+        others = (waiting for name, waiting in self.by_tenant.items() if name != tenant)
+        return own + sum(min(len(waiting), own + 1) for waiting in others)
 
     def pop(self) -> Ticket:
         """Remove and return the next ticket, and pass the turn to the next tenant."""
-        tenant, waiting = next(iter(self.by_tenant.items()))
+        tenant = self._next_tenant()
+        waiting = self.by_tenant[tenant]
         ticket = waiting.popleft()
         self.size -= 1
         if waiting:
@@ -169,7 +187,10 @@
         """Return the expected wait and run time of a call, in ms; 0 if its class never ran here."""
         if self.run_times.usual_ms(call.rule.name) is None:
             return 0.0
-        wait_ms = self._expected_wait_ms(self._queue_of(call)) if self._full else 0.0
+        queue = self._queue_of(call)
+        wait_ms = (
+            self._expected_wait_ms(queue, queue.calls_ahead(call.tenant)) if self._full else 0.0
+        )
         return wait_ms + self.expected_run_ms(call)
 
     def _reported_slots(self) -> tuple[int, float]:
@@ -185,6 +206,10 @@
         slots = min(self.slots, max(1, round(self._service_ms / interval_ms)))
         return slots, max(self._service_ms, slots * interval_ms)
 
+    @property
+    def _has_free_slot(self) -> bool:
+        return len(self._running) < self.slots
+
     @property
     def _full(self) -> bool:
         return self._queued > 0 or len(self._running) >= self.slots or not self.cold.may_start()
@@ -235,6 +260,9 @@
             return
         self._running.discard(ticket)
         self.cold.end(ticket)
+        served_ms = self._clock.now_ms() - ticket.started_ms if ran else 0.0
+        shares = self._queue_of(ticket.call).shares
+        shares.correct(ticket.call.tenant, served_ms - ticket.charged_ms)
         if ran:
             self._record_service_time(ticket)
         self._admit_waiting()
@@ -323,6 +351,8 @@
         ticket.slowness = self.expected_slowness()
         self._running.add(ticket)
         self.cold.start(ticket)
+        ticket.charged_ms = queue.service_ms
+        queue.shares.start(ticket.call.tenant, queue.service_ms)
         self._virtual_time_ms = max(self._virtual_time_ms, queue.virtual_time_ms)
         queue.virtual_time_ms = max(queue.virtual_time_ms, self._virtual_time_ms)
         queue.virtual_time_ms += queue.service_ms / queue.weight
@@ -372,11 +402,11 @@
 
     def _rejection(self, ticket: Ticket, queue: ClassQueue) -> NotRun | None:
         rule = ticket.call.rule
-        wait_ms = self._expected_wait_ms(queue)
+        wait_ms = self._expected_wait_ms(queue, queue.calls_ahead(ticket.call.tenant))
         if wait_ms > self._max_useful_wait_ms(ticket.call) and not self._shed_lower_priority(
             rule.priority, queue.inner
         ):
-            if self.cold.limiting and self._cold_wait_ms(queue) >= wait_ms:
+            if self.cold.limiting and not self.cold.may_start() and self._has_free_slot:
                 self.cold.rejections += 1
                 return NotRun(NotRunReason.COLD, int(wait_ms) + 1)
             return NotRun(NotRunReason.OVERLOADED, int(wait_ms) + 1)
@@ -409,13 +439,15 @@
         """Return the factor by which work is expected to take longer than usual now."""
         return max(self.slowness.expected(), self.cold.slowness)
 
-    def _expected_wait_ms(self, queue: ClassQueue) -> float:
+    def _expected_wait_ms(self, queue: ClassQueue, ahead: int | None = None) -> float:
+        """Return the expected wait in ms after `ahead` calls of a queue; after all if `None`."""
+        ahead = queue.size if ahead is None else ahead
         share = self.slots * self._weight_share(queue)
-        wait_ms = queue.size * queue.service_ms / max(share, 0.01)
+        wait_ms = ahead * queue.service_ms / max(share, 0.01)
         if not queue.inner:
             inner_ms = sum(q.size * q.service_ms for q in self._by_class.values() if q.inner)
             wait_ms += inner_ms / max(1, self.slots)
-        return max(wait_ms, self._cold_wait_ms(queue)) if self.cold.limiting else wait_ms
+        return max(wait_ms, self._cold_wait_ms(queue, ahead)) if self.cold.limiting else wait_ms
 
     def _weight_share(self, queue: ClassQueue) -> float:
         total_weight = sum(
@@ -425,8 +457,8 @@
         )
         return queue.weight / total_weight
 
-    def _cold_wait_ms(self, queue: ClassQueue) -> float:
-        ahead = queue.size / self._weight_share(queue)
+    def _cold_wait_ms(self, queue: ClassQueue, calls_ahead: int) -> float:
+        ahead = calls_ahead / self._weight_share(queue)
         if not queue.inner:
             ahead += sum(q.size for q in self._by_class.values() if q.inner)
         return self.cold.wait_ms(min(self._queued, ahead))
--- a/foxtailproxy/tests/admission.feature
+++ b/foxtailproxy/tests/admission.feature
@@ -46,6 +46,19 @@
       | one that waited too long gives way          | 60    | 50 | a c     | -       | b=held-too-long                  |
       | the run alone takes too long with none free | 120   | 10 | a       | -       | b=overloaded c=overloaded        |
 
+  # By turns a tenant with calls of three times the length got three times the slots; by the length of
+  # the whole queue a small tenant was rejected for the calls of a large one.
+  Scenario Outline: Two tenants of one class share 3 slots for 20 s: <case>
+    Given a target with 3 slots
+    When tenant A sends <rate_a> calls a second of <run_a> ms, and B <rate_b> of <run_b> ms, for 20 s
+    Then tenant A has <share_a> to <most_a> and B <share_b> to <most_b> percent of the slots' time
+
+    Examples:
+      | case                             | rate_a | run_a | rate_b | run_b | share_a | most_a | share_b | most_b |
+      | one has longer calls             | 20     | 300   | 40     | 100   | 47      | 53     | 47      | 53     |
+      | one sends seven times as many    | 42     | 100   | 6      | 100   | 76      | 81     | 19      | 20     |
+      | both fit                         | 10     | 100   | 5      | 100   | 33      | 34     | 16      | 17     |
+
   Scenario: Classes share the slots by weight and service time
     Given a target with 1 slots
     When 40 heavy calls of weight 3 and 40 light calls of weight 1 wait
--- a/foxtailproxy/tests/steps/admission.py
+++ b/foxtailproxy/tests/steps/admission.py
@@ -113,3 +113,42 @@
         context.admission.release(running)
     heavy = sum(1 for name in context.admitted[1 : count + 1] if name.startswith("heavy"))
     assert abs(heavy - share) <= 1, context.admitted
+
+
+def _send_and_end(context: Any, tenant: str, run_ms: float) -> None:
+    def admitted() -> None:
+        context.used_ms[tenant] += run_ms
+        context.clock.call_later(run_ms, context.admission.release, ticket)
+
+    rule = {"name": "shared", "objective_ms": 800, "hold_ms": 3000}
+    call = make_call(context.clock, rule=rule, tenant=tenant, received_ms=context.clock.now_ms())
+    ticket = Ticket(call, admitted, lambda rejection: None)
+    context.admission.submit(ticket)
+
+
+@when(
+    "tenant A sends {rate_a:d} calls a second of {run_a:d} ms, and B {rate_b:d} of {run_b:d} ms, "
+    "for {seconds:d} s"
+)
+def step_two_tenants(
+    context: Any, rate_a: int, run_a: int, rate_b: int, run_b: int, seconds: int
+) -> None:
+    context.used_ms, context.total_ms = {"A": 0.0, "B": 0.0}, seconds * 1000
+    for now_ms in range(1, context.total_ms + 1):
+        for tenant, rate, run_ms in (("A", rate_a, run_a), ("B", rate_b, run_b)):
+            if now_ms * rate // 1000 > (now_ms - 1) * rate // 1000:
+                _send_and_end(context, tenant, run_ms)
+        advance(context.clock, 1)
+        if not now_ms % 20:
+            context.admission.sweep()
+
+
+@then(
+    "tenant A has {share_a:d} to {most_a:d} and B {share_b:d} to {most_b:d} percent of the slots' "
+    "time"
+)
+def step_tenant_shares(context: Any, share_a: int, most_a: int, share_b: int, most_b: int) -> None:
+    total_ms = context.total_ms * context.admission.slots
+    percent = {tenant: 100 * used / total_ms for tenant, used in context.used_ms.items()}
+    assert share_a <= percent["A"] <= most_a, percent
+    assert share_b <= percent["B"] <= most_b, percent
