--- a/foxtailproxy/admission.py
+++ b/foxtailproxy/admission.py
@@ -1,7 +1,7 @@
 """Admission at a target: exact slots, weighted fair queues, limits on long calls, load shedding.
 
-Classes share the slots in proportion to their weights, measured in service time. The tenants of one
-class take turns. Long calls may hold only a share of the slots.
+Classes share the slots in proportion to their weights, measured in service time, and the tenants of
+one class in equal parts. Long calls may hold only a share of the slots.
 """
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from foxtailproxy.clock import MS_PER_SECOND
 from foxtailproxy.ejection import FailureRate
@@ -17,6 +17,8 @@
 from foxtailproxy.outcome import NotRun, NotRunReason
 from foxtailproxy.speed import RunTimes, Slowness
 from foxtailproxy.target_side.cold_start import ColdStart
+from foxtailproxy.target_side.inner_calls import is_inner, waits_for_deadline
+from foxtailproxy.target_side.tenant_shares import TenantShares
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,7 +44,7 @@
     """Request of a call for a slot; exactly one of its two callbacks is called, once.
 
     `slowness` is the expected slowness of the target when the call started, `sent_ms` the time at
-    which it was sent to the upstream.
+    which it was sent to the upstream, `charged_ms` the service time charged to its tenant.
     """
 
     call: Call
@@ -52,6 +54,7 @@
     started_ms: float = -1.0
     slowness: float = 1.0
     sent_ms: float = -1.0
+    charged_ms: float = 0.0
 
     @property
     def running(self) -> bool:
@@ -59,35 +62,61 @@
         return self.started_ms >= 0
 
 
-QueueKey = tuple[str, int, int]
-"""Class, priority and weight of a queue: customers of one class may have different priorities."""
+class QueueKey(NamedTuple):
+    """What the calls of a queue have in common.
+
+    Customers of one class may have different priorities.
+    """
+
+    class_key: str
+    inner: bool
+    priority: int
+    weight: int
 
 
 @dataclass(eq=False, slots=True)
 class ClassQueue:
     """Waiting calls of one class and priority by tenant.
 
-    They share a weight, a virtual time and a mean service time.
+    They share a weight, a virtual time and a mean service time. They are the `inner` calls of the
+    class, which upstreams make, or its other calls.
     """
 
     weight: int
+    inner: bool = False
     virtual_time_ms: float = 0.0
     service_ms: float = INITIAL_SERVICE_MS
     size: int = 0
     by_tenant: OrderedDict[str, deque[Ticket]] = field(default_factory=OrderedDict)
+    shares: TenantShares = field(default_factory=TenantShares)
 
     def push(self, ticket: Ticket) -> None:
         """Append a ticket to the queue of its tenant."""
+        if ticket.call.tenant not in self.by_tenant:
+            self.shares.join(ticket.call.tenant)
         self.by_tenant.setdefault(ticket.call.tenant, deque()).append(ticket)
         self.size += 1
 
     def peek(self) -> Ticket:
         """Return the next ticket without removing it."""
-        return next(iter(self.by_tenant.values()))[0]
+        return self.by_tenant[self._next_tenant()][0]
+
+    def _next_tenant(self) -> str:
+        """Return the tenant that got the least service time, of equal ones that next in turn."""
+        if len(self.by_tenant) == 1:
+            return next(iter(self.by_tenant))
+        return min(self.by_tenant, key=self.shares.served_ms)
+
+    def calls_ahead(self, tenant: str) -> int:
+        """Return how many waiting calls would run before one more call of a tenant, by turns."""
+        own = len(self.by_tenant.get(tenant, ()))
+        others = (waiting for name, waiting in self.by_tenant.items() if name != tenant)
+        return own + sum(min(len(waiting), own + 1) for waiting in others)
 
     def pop(self) -> Ticket:
         """Remove and return the next ticket, and pass the turn to the next tenant."""
-        tenant, waiting = next(iter(self.by_tenant.items()))
+        tenant = self._next_tenant()
+        waiting = self.by_tenant[tenant]
         ticket = waiting.popleft()
         self.size -= 1
         if waiting:
@@ -107,6 +136,11 @@
             del self.by_tenant[ticket.call.tenant]
         return True
 
+    @property
+    def priority(self) -> int:
+        """Priority of the next ticket."""
+        return self.peek().call.rule.priority
+
     def longest_tenant_queue(self) -> deque[Ticket]:
         """Return the waiting calls of the tenant that has the most."""
         return max(self.by_tenant.values(), key=len)
@@ -162,7 +196,10 @@
         """Return the expected wait and run time of a call, in ms; 0 if its class never ran here."""
         if self.run_times.usual_ms(call.rule.name) is None:
             return 0.0
-        wait_ms = self._expected_wait_ms(self._queue_of(call)) if self._full else 0.0
+        queue = self._queue_of(call)
+        wait_ms = (
+            self._expected_wait_ms(queue, queue.calls_ahead(call.tenant)) if self._full else 0.0
+        )
         return wait_ms + self.expected_run_ms(call)
 
     def _reported_slots(self) -> tuple[int, float]:
@@ -178,6 +215,10 @@
         slots = min(self.slots, max(1, round(self._service_ms / interval_ms)))
         return slots, max(self._service_ms, slots * interval_ms)
 
+    @property
+    def _has_free_slot(self) -> bool:
+        return len(self._running) < self.slots
+
     @property
     def _full(self) -> bool:
         return self._queued > 0 or len(self._running) >= self.slots or not self.cold.may_start()
@@ -190,9 +231,9 @@
         """
         sizes: dict[str, int] = {}
         waits_ms: dict[str, float] = {}
-        for (class_key, _, _), queue in self._queue_by_key.items():
+        for key, queue in self._queue_by_key.items():
             if queue.size or self.cold.limiting:
-                name = class_key.rpartition("/")[2]
+                name = key.class_key.rpartition("/")[2]
                 size = max(1, queue.size)
                 sizes[name] = sizes.get(name, 0) + size
                 waits_ms[name] = waits_ms.get(name, 0.0) + self._expected_wait_ms(queue) * size
@@ -231,6 +272,9 @@
             return
         self._running.discard(ticket)
         self.cold.end(ticket)
+        served_ms = self._clock.now_ms() - ticket.started_ms if ran else 0.0
+        shares = self._queue_of(ticket.call).shares
+        shares.correct(ticket.call.tenant, served_ms - ticket.charged_ms)
         if ran:
             self._record_service_time(ticket)
         self._admit_waiting()
@@ -270,16 +314,18 @@
         self._admit_waiting()
 
     def _queue_of(self, call: Call) -> ClassQueue:
-        key = (call.class_key, call.rule.priority, call.rule.weight)
+        rule = call.rule
+        key = QueueKey(call.class_key, is_inner(call), rule.priority, rule.weight)
         queue = self._queue_by_key.get(key)
         if queue is None:
-            queue = ClassQueue(call.rule.weight, service_ms=self._service_ms_of(call.class_key))
+            service_ms = self._service_ms_of(call.class_key)
+            queue = ClassQueue(rule.weight, key.inner, service_ms=service_ms)
             self._queue_by_key[key] = queue
         return queue
 
     def _service_ms_of(self, class_key: str) -> float:
         """Return the service time of a class as one of its queues knows it, in ms."""
-        known = (queue for key, queue in self._queue_by_key.items() if key[0] == class_key)
+        known = (queue for key, queue in self._queue_by_key.items() if key.class_key == class_key)
         queue = next(known, None)
         return INITIAL_SERVICE_MS if queue is None else queue.service_ms
 
@@ -323,6 +369,8 @@
         ticket.slowness = self.expected_slowness()
         self._running.add(ticket)
         self.cold.start(ticket)
+        ticket.charged_ms = queue.service_ms
+        queue.shares.start(ticket.call.tenant, queue.service_ms)
         self._virtual_time_ms = max(self._virtual_time_ms, queue.virtual_time_ms)
         queue.virtual_time_ms = max(queue.virtual_time_ms, self._virtual_time_ms)
         queue.virtual_time_ms += queue.service_ms / queue.weight
@@ -345,7 +393,12 @@
             self._start(ticket, queue)
 
     def _would_miss_objective(self, call: Call) -> bool:
-        """Return whether a call that waited would end after its objective."""
+        """Return whether a call that waited would end after its objective.
+
+        For an inner call that other targets rejected its deadline counts.
+        """
+        if waits_for_deadline(call):
+            return call.remaining_ms(self._clock) < self.expected_run_ms(call)
         if not call.rule.objective_ms:
             return False
         return call.objective_left_ms(self._clock) < self.expected_run_ms(call)
@@ -354,6 +407,11 @@
         ready = [q for q in self._queue_by_key.values() if q.size and self._may_run(q.peek())]
         if not ready:
             return None
+        inner_priorities = [q.priority for q in ready if q.inner]
+        if inner_priorities:
+            # A request that already runs elsewhere waits for an inner call.
+            least = max(inner_priorities)
+            ready = [q for q in ready if q.inner or q.priority > least]
         if self.fair_queueing:
             return min(ready, key=lambda queue: queue.virtual_time_ms)
         return min(ready, key=lambda queue: queue.peek().arrived_ms)
@@ -362,11 +420,11 @@
 
     def _rejection(self, ticket: Ticket, queue: ClassQueue) -> NotRun | None:
         rule = ticket.call.rule
-        wait_ms = self._expected_wait_ms(queue)
+        wait_ms = self._expected_wait_ms(queue, queue.calls_ahead(ticket.call.tenant))
         if wait_ms > self._max_useful_wait_ms(ticket.call) and not self._shed_lower_priority(
-            rule.priority
+            rule.priority, queue.inner
         ):
-            if self.cold.limiting and self._cold_wait_ms(queue) >= wait_ms:
+            if self.cold.limiting and not self.cold.may_start() and self._has_free_slot:
                 self.cold.rejections += 1
                 return NotRun(NotRunReason.COLD, int(wait_ms) + 1)
             return NotRun(NotRunReason.OVERLOADED, int(wait_ms) + 1)
@@ -377,6 +435,8 @@
     def _max_useful_wait_ms(self, call: Call) -> float:
         """Return the longest wait after which the call is still worth a slot, in ms."""
         max_wait_ms = min(call.rule.hold_ms, call.remaining_ms(self._clock))
+        if waits_for_deadline(call):
+            return min(max_wait_ms, call.remaining_ms(self._clock) - self.expected_run_ms(call))
         if not call.rule.objective_ms:
             return max_wait_ms
         # Mean time until a slot becomes free.
@@ -397,32 +457,44 @@
         """Return the factor by which work is expected to take longer than usual now."""
         return max(self.slowness.expected(), self.cold.slowness)
 
-    def _expected_wait_ms(self, queue: ClassQueue) -> float:
+    def _expected_wait_ms(self, queue: ClassQueue, ahead: int | None = None) -> float:
+        """Return the expected wait in ms after `ahead` calls of a queue; after all if `None`."""
+        ahead = queue.size if ahead is None else ahead
         share = self.slots * self._weight_share(queue)
-        wait_ms = queue.size * queue.service_ms / max(share, 0.01)
-        return max(wait_ms, self._cold_wait_ms(queue)) if self.cold.limiting else wait_ms
+        wait_ms = ahead * queue.service_ms / max(share, 0.01)
+        if not queue.inner:
+            inner_ms = sum(q.size * q.service_ms for q in self._queue_by_key.values() if q.inner)
+            wait_ms += inner_ms / max(1, self.slots)
+        return max(wait_ms, self._cold_wait_ms(queue, ahead)) if self.cold.limiting else wait_ms
 
     def _weight_share(self, queue: ClassQueue) -> float:
-        total_weight = sum(q.weight for q in self._queue_by_key.values() if q.size or q is queue)
+        total_weight = sum(
+            q.weight
+            for q in self._queue_by_key.values()
+            if (q.size or q is queue) and q.inner == queue.inner
+        )
         return queue.weight / total_weight
 
-    def _cold_wait_ms(self, queue: ClassQueue) -> float:
-        return self.cold.wait_ms(min(self._queued, queue.size / self._weight_share(queue)))
+    def _cold_wait_ms(self, queue: ClassQueue, calls_ahead: int) -> float:
+        ahead = calls_ahead / self._weight_share(queue)
+        if not queue.inner:
+            ahead += sum(q.size for q in self._queue_by_key.values() if q.inner)
+        return self.cold.wait_ms(min(self._queued, ahead))
 
-    def _shed_lower_priority(self, priority: int) -> bool:
+    def _shed_lower_priority(self, priority: int, inner: bool) -> bool:
         """Shed a waiting call of the lowest-priority class below `priority`, if there is one.
 
-        The newest call of the tenant with the most waiting calls is rejected. Return whether a call
-        was shed.
+        An `inner` call also sheds others of its priority. The newest call of the tenant with the
+        most waiting calls is rejected, inner calls last. Return whether a call was shed.
         """
         lower_queues = [
             queue
             for queue in self._queue_by_key.values()
-            if queue.size and queue.peek().call.rule.priority < priority
+            if queue.size and queue.priority < priority + (inner and not queue.inner)
         ]
         if not lower_queues:
             return False
-        queue = min(lower_queues, key=lambda queue: queue.peek().call.rule.priority)
+        queue = min(lower_queues, key=lambda queue: (queue.inner, queue.priority))
         self._reject(queue.longest_tenant_queue()[-1], NotRunReason.OVERLOADED)
         return True
 
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -237,6 +237,7 @@
             self.freshness,
             self.allowances.draws,
         )
+        self.caller_server.inner_depth_of = self.target.inner_depth
         self.peer_server = PeerServer(
             clock,
             limits,
