--- a/foxtailproxy/tests/steps/allowances.py
+++ b/foxtailproxy/tests/steps/allowances.py
@@ -24,6 +24,7 @@
 from foxtailproxy.customers.allowance_exchange import ANSWER_MARK
 from foxtailproxy.customers.node_allowances import NodeAllowances
 from foxtailproxy.membership import MemberTable
+from foxtailproxy.metrics import Metrics
 from foxtailproxy.models.messages import (
     AllowanceAnswer,
     AllowanceLevel,
@@ -251,10 +252,10 @@
         sync,
         context.dispatcher,
         unused,
-        unused,
+        Metrics(),
         unused,
         False,
-        context.allowance,
+        allowances=context.allowance,
     )
 
 
