Don't wait for the evacuations before a node registers

Cause: the start of a node is time in which callers wait. Change: the listing is sent before the registration, and nothing waits for it.

--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -370,12 +370,10 @@
 
     async def _join(self, discovery: Deferred[None]) -> None:
         """Get the members and the configuration from the store or from peers."""
-        evacuations: Deferred[Any] = ensureDeferred(
-            self.evacuations.read(self.store)  # type: ignore[arg-type]
-        )
         timeout = self.clock.sleep(MAX_DISCOVERY_MS)
-        found: Deferred[Any] = DeferredList([discovery, evacuations])
-        await DeferredList([found, timeout], fireOnOneCallback=True)
+        await DeferredList([discovery, timeout], fireOnOneCallback=True)
+        # Sent before the registration, whose answer lets calls in; nothing waits for it.
+        ensureDeferred(self.evacuations.read(self.store))  # type: ignore[arg-type]
         failures = 0
         while self.state.name == "serving":
             self._compare_with_seeds()
