--- a/foxtailproxy/customers/allowance.py
+++ b/foxtailproxy/customers/allowance.py
@@ -38,7 +38,7 @@
 """Time by which batched reports arrive late, in milliseconds. The bucket holds as many more tokens
 as are refilled meanwhile, so that a steady use below the rate never finds it empty."""
 
-SPLIT_TOKENS = 3.0
+SPLIT_TOKENS = 5.0
 """Least number of such tokens, since the regions divide the burst of a small customer."""
 
 LAG_MARGIN_SHARE = 0.25
