--- a/foxtailproxy/choice/crossing.py
+++ b/foxtailproxy/choice/crossing.py
@@ -34,7 +34,11 @@
 """Share of the calls that may leave when leaving begins to pay."""
 
 SHARE_STEP = 0.25
-"""Rise of that share with each call for which leaving pays, towards all calls."""
+"""Rise of that share with each call for which leaving pays."""
+
+MAX_SHARE = 0.95
+"""Largest share. Without the calls that stay nothing would be learned of the targets nearby: one
+that was slow or failing for a while would never be used again."""
 
 SHARE_DECAY = 0.9
 """Factor of the share with each call for which leaving does not pay."""
@@ -117,7 +121,7 @@
             share.value = max(INITIAL_SHARE, share.value * SHARE_DECAY)
             return False
         may_leave = math.isinf(inputs.near_ms) or self._rng.random() < share.value
-        share.value = min(1.0, share.value + SHARE_STEP)
+        share.value = min(MAX_SHARE, share.value + SHARE_STEP)
         if may_leave:
             share.left += 1
         else:
