Do not cut an early answer because the rest of the request's body does not come

Cause: with the bounds of clients, a connection was aborted when a body made no progress within the idle time, also while the answer to its request was being sent. A client may stop sending a body that is answered already; its answer was cut. Change: the time does not run out while the response to the request is in progress; the connection closes after it, as before.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -535,8 +535,11 @@
         self._timeout_at_ms = 0.0
 
     def _waits_for_node(self) -> bool:
-        """Return whether the client waits for the node to read, or for its `100 Continue`."""
+        """Return whether the client waits for the node: to read, to continue, or to respond."""
         exchange = self._receiving
+        if exchange is not None and exchange.response_started:
+            # A client may stop sending a body that is answered already, and reads the response.
+            return True
         if exchange is not None and exchange.expects_continue and not exchange.serving:
             return True
         return bool(self._pause_reasons) and (self._in_head or exchange is not None)
--- a/foxtailproxy/tests/client_limits.feature
+++ b/foxtailproxy/tests/client_limits.feature
@@ -28,6 +28,7 @@
       | half a body and nothing for 16 s              | is disconnected  |
       | a body and a trailer without an end           | reads status 431 |
       | a body that waits for a request before it     | reads nothing    |
+      | half a body, and gets an answer in parts      | reads all parts  |
 
   # Guards against new clients that are kept out by silent ones, and against a running request that is closed for them.
   Scenario Outline: A third client of a server for two clients, of which the first <first> and the second <second>
--- a/foxtailproxy/tests/steps/client_limits.py
+++ b/foxtailproxy/tests/steps/client_limits.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import re
+from functools import partial
 from typing import Any
 
 from behave import given, then, when
 
+from foxtailproxy.clock import Clock
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.client_bounds import ClientBounds
 from foxtailproxy.http.connection_limit import ConnectionLimit
@@ -42,6 +44,10 @@
         RUNNING + TEN_BYTES.replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n"),
         16_000,
     ],
+    "half a body, and gets an answer in parts": [
+        TEN_BYTES.replace(b"/ ", b"/parts ", 1) + b".....",
+        20_000,
+    ],
     "a body and a trailer without an end": [CHUNKED, b"1\r\n.\r\n0\r\na: ", *[b"." * 40_000] * 2],
 }
 """What a client sends, with the milliseconds that it waits."""
@@ -73,9 +79,18 @@
     assert context.account.shed_count == len(shed)
 
 
-async def _serve(exchange: ServerExchange) -> None:
+async def _serve(clock: Clock, exchange: ServerExchange) -> None:
     if exchange.head.target == b"/running":
         return
+    if exchange.head.target == b"/parts":
+        # An upstream may answer before it has the whole body.
+        body = BodyStream(None)
+        exchange.respond(ResponseHead(200, b"OK"), body)
+        body.feed(b"first")
+        await clock.sleep(18_000)
+        body.feed(b"last")
+        body.end()
+        return
     try:
         await exchange.body.buffer(PAGE_LIMITS.body_bytes)
     except HttpError:
@@ -87,7 +102,9 @@
 def step_server(context: Any) -> None:
     context.clock = fake_clock()
     context.bounds = ClientBounds(MemoryAccount(4_000_000), ConnectionLimit(MAX_CLIENTS))
-    context.factory = ServerFactory(_serve, PAGE_LIMITS, context.clock, bounds=context.bounds)
+    context.factory = ServerFactory(
+        partial(_serve, context.clock), PAGE_LIMITS, context.clock, bounds=context.bounds
+    )
 
 
 def _connect(context: Any) -> Any:
@@ -119,6 +136,11 @@
     assert (context.transport.value(), context.transport.close_kind) == (b"", "")
 
 
+@then("the limited client reads all parts")
+def step_parts(context: Any) -> None:
+    assert context.transport.value().endswith(b"first\r\n4\r\nlast\r\n0\r\n\r\n")
+
+
 @then("the limited client is disconnected")
 def step_disconnected(context: Any) -> None:
     assert (context.transport.value(), context.transport.close_kind) == (b"", "cut")
