Leave an ejected local target where calls cross by chance

Cause: without a peer in the data centre, the choice by chance took the local target as near and compared only its reported times and failures, so that calls went on to it while it was ejected; its trial call could be overridden in turn. Change: an ejected local target is not expected to answer in time; a due trial call goes to it.

--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -268,6 +268,8 @@
         self, sample: Sample, cost: CallCost, local_available: bool
     ) -> TargetView | None:
         """Return the best target near enough; `None` for the local one."""
+        if local_available and self._is_local_trial_due(cost.match):
+            return None
         best = self._best(sample.data_center, cost)
         if local_available and self._prefers_local(best, cost.match, cost.request_bytes):
             best = None
@@ -303,7 +305,7 @@
         self, near: TargetView | None, cost: CallCost, has_near: bool
     ) -> tuple[float, float]:
         """Return the expected time at the near target in ms, and its failure rate."""
-        if not has_near:
+        if not has_near or (near is None and self.local_health.ejected):
             return math.inf, 0.0
         if near is None:
             load = self._target.load()
@@ -599,14 +601,17 @@
     def _prefers_local(self, best: TargetView | None, match: Match, request_bytes: int) -> bool:
         if best is None:
             return True
-        if self.local_health.ejected and not (
-            match.rule.idempotent and self.local_health.trial_due
-        ):
+        if self.local_health.ejected and not self._is_local_trial_due(match):
             return best.health.ejected
         extra_ms = self._round_trip_ms(best) + self._cost_ms(best, match, request_bytes)
         extra_ms -= self._local_failure_cost_ms(match)
         return best.expected_ms(match.rule.name) + extra_ms + self._local_margin_left_ms(match) >= 0
 
+    def _is_local_trial_due(self, match: Match) -> bool:
+        """Return whether a call may be the trial call of the local target after its ejection."""
+        health = self.local_health
+        return health.ejected and match.rule.idempotent and health.trial_due
+
     def _local_margin_left_ms(self, match: Match) -> float:
         """Return the local target's margin less the time expected there, in ms."""
         return match.service.local_margin_ms - self._expected_local_ms(match)
--- a/foxtailproxy/tests/crossing.feature
+++ b/foxtailproxy/tests/crossing.feature
@@ -29,3 +29,17 @@
     When leaving pays for 40 calls at each of 50 nodes
     Then between 35 and 65 in 100 of the first calls leave
     And all of the last calls leave
+
+  # Guards against calls that go on to a target which fails them, as no other one is near.
+  Scenario Outline: An ejected local target <later> its ejection, for calls that <may> run twice
+    Given a node in pohja with targets n1 in pohja, n2 and n3 in louna, n4 in ida
+    And calls leave by chance, and the local target was ejected <ms> ms ago
+    When a call with 500 ms left that <may> run twice is placed
+    Then the target chosen is <chosen>
+
+    Examples:
+      | later        | ms   | may     | chosen |
+      | soon after   | 10   | may     | n1     |
+      | soon after   | 10   | may not | n1     |
+      | longer after | 1100 | may     | local  |
+      | longer after | 1100 | may not | n1     |
--- a/foxtailproxy/tests/steps/crossing.py
+++ b/foxtailproxy/tests/steps/crossing.py
@@ -11,6 +11,10 @@
 
 from foxtailproxy.choice.crossing import CrossingInputs, CrossingPolicy
 from foxtailproxy.clock import Clock
+from foxtailproxy.models.settings import LinksSection
+from foxtailproxy.tests.fakes import make_call
+
+FAILURES_UNTIL_EJECTION = 5
 
 
 @given("an objective with {left:d} ms left and a link that costs {cost:g} requests")
@@ -61,3 +65,26 @@
 @then("all of the last calls leave")
 def step_last(context: Any) -> None:
     assert context.rounds[-1] == context.nodes, context.rounds
+
+
+@given("calls leave by chance, and the local target was ejected {ms:d} ms ago")
+def step_local_ejected(context: Any, ms: int) -> None:
+    context.router.links = LinksSection(leave_by_chance=True)
+    for _ in range(FAILURES_UNTIL_EJECTION):
+        context.router.record_failure("kalender", context.router.local_health)
+    assert context.router.local_health.ejected
+    context.clock.source.advance(ms / 1000)
+
+
+@when("a call with {left:d} ms left that {may} run twice is placed")
+def step_placed(context: Any, left: int, may: str) -> None:
+    rule = {"idempotent": may == "may", "objective_ms": left}
+    match = make_call(context.clock, rule=rule).match
+    context.choice = context.router.choose(match, set(), 100, objective_left_ms=left)
+
+
+@then("the target chosen is {name:w}")
+def step_target_chosen(context: Any, name: str) -> None:
+    view = getattr(context.choice, "view", None)
+    chosen = "local" if view is None else view.member.node_id
+    assert chosen == name, context.choice
