Reject a call whose allowed regions have only refusing targets as such

Cause: the reason of an upstream that refuses calls was not among those of targets without capacity, so that such a call ended as refusing although other regions may have had room. Change: add it to them. Evidence: a case of regions.feature; it fails without the change (31 passed, 1 failed) and passes with it (32 passed).

--- a/foxtailproxy/constraints/regions.py
+++ b/foxtailproxy/constraints/regions.py
@@ -27,6 +27,7 @@
         NotRunReason.UNREACHABLE,
         NotRunReason.EVACUATED,
         NotRunReason.COLD,
+        NotRunReason.REFUSING,
     )
 )
 """Reasons for which a target did not run a call that a target elsewhere might have run."""
--- a/foxtailproxy/tests/regions.feature
+++ b/foxtailproxy/tests/regions.feature
@@ -47,6 +47,7 @@
       | louna    | -                         | not-run no-allowed-target | 1     | no-target  |
       | louna    | a:overloaded b:queue-full | not-run no-allowed-target | 1     | queue-full |
       | louna    | a:evacuated b:evacuated   | not-run no-allowed-target | 1     | evacuated  |
+      | louna    | a:refusing                | not-run no-allowed-target | 1     | refusing   |
       | louna    | a:quarantined             | not-run quarantined       | 0     | -          |
       | louna    | a:upstream-lost           | unknown upstream-lost     | 0     | -          |
       | anywhere | -                         | not-run no-target         | 0     | -          |
