--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -59,6 +59,10 @@
 MAX_INNER_REJECTIONS = 4
 """The same for an inner call, whose loss makes the request fail that an upstream runs already."""
 
+MAX_REFUSING_TARGETS = 4
+"""Maximum number of targets that one call tries although they refuse all calls: if four of a few
+chosen ones do, hardly any other is left."""
+
 MAX_SENDS = 10
 """Maximum sends of one call, including those that a target declines."""
 
@@ -96,7 +100,8 @@
 
     `open_by_target` holds the sends that have not ended, by the id of their target. `reached_count`
     counts the ended sends that may have reached an upstream, `possible_runs` those that it may have
-    run, `rejections` those rejected for lack of room. `cancelled` tells whether the caller left.
+    run, `rejections` those rejected for lack of room, `refusals` those at targets that refuse all
+    calls. `cancelled` tells whether the caller left.
     """
 
     tried_ids: set[str] = field(default_factory=set)
@@ -106,6 +111,7 @@
     reached_count: int = 0
     possible_runs: int = 0
     rejections: int = 0
+    refusals: int = 0
     cancelled: bool = False
     unknown_failure: Unknown | None = None
     error_answer: Outcome | None = None
@@ -120,6 +126,7 @@
         self.reached_count += reached_upstream(outcome)
         self.possible_runs += may_have_run(outcome)
         self.rejections += is_overload_rejection(outcome)
+        self.refusals += is_refusing(outcome)
         if outcome.is_ok():
             self.error_answer = outcome
         elif isinstance(outcome.error, Unknown):
@@ -222,6 +229,7 @@
             if (
                 progress.possible_runs >= call.rule.attempts
                 or progress.rejections >= max_rejections
+                or progress.refusals >= MAX_REFUSING_TARGETS
             ):
                 break
             if progress.sends and not self._may_retry(call, outcome, rule_book, progress):
@@ -433,3 +441,8 @@
 def is_overload_rejection(outcome: Outcome) -> bool:
     """Return whether the target's node rejected the call for lack of room."""
     return outcome.is_error() and outcome.error.reason in OVERLOAD_REASONS
+
+
+def is_refusing(outcome: Outcome) -> bool:
+    """Return whether the target's node rejected the call since its upstream refuses all calls."""
+    return outcome.is_error() and outcome.error.reason is NotRunReason.REFUSING
--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -21,6 +21,8 @@
       | handed back, then answered elsewhere          | a:faster-elsewhere b:100ms           | may not | 1        | answered              | 100  | a b   | -       |
       | refused by the upstream, then answered        | a:upstream-refused b:100ms           | may not | 1        | answered              | 100  | a b   | -       |
       | two targets without room are enough           | a:overloaded b:overloaded c:100ms    | may     | 2        | not-run overloaded    | 0    | a b   | -       |
+      | a target refuses all calls, another answers   | a:refusing b:refusing c:100ms        | may     | 2        | answered              | 100  | a b c | -       |
+      | four that refuse all calls are enough         | a:refusing b:refusing c:refusing d:refusing e:100ms | may | 2 | not-run refusing | 0 | a b c d | -  |
       | an error is repeated elsewhere                | a:50ms500 b:100ms                    | may     | 2        | answered              | 150  | a b   | -       |
       | an error of a call that may not run again     | a:50ms500 b:100ms                    | may not | 2        | answered 500          | 50   | a     | -       |
       | a lost answer of one that may not run again   | a:upstream-lost b:100ms              | may not | 2        | unknown upstream-lost | 0    | a     | -       |
