Close the allowances whole when a request follows one that waits

Cause: close decided about the waiting requests while it iterated over the customers. A request that ends there lets the next one on its connection draw, maybe for a customer without state, which raised RuntimeError: the last draws were not reported, and the node's close ended half-way. Change: iterate over a copy. Evidence: the new scenario errors without the change and passes with it; allowances.feature: 38 passed, 0 failed.

--- a/foxtailproxy/customers/allowance_client.py
+++ b/foxtailproxy/customers/allowance_client.py
@@ -233,7 +233,8 @@
 
     def close(self) -> None:
         """Report what is unreported, admit what waits from the local shares, and stop."""
-        for usage in self.usage_by_customer.values():
+        # A request that ends lets the next one on its connection draw, maybe for another customer.
+        for usage in list(self.usage_by_customer.values()):
             self._decide_locally(usage)
         self._send([usage for usage in self.usage_by_customer.values() if usage.needs_report])
         self._reports.close()
--- a/foxtailproxy/tests/allowances.feature
+++ b/foxtailproxy/tests/allowances.feature
@@ -64,6 +64,14 @@
     And 20 requests enter, 20 ms apart, and the owner stays silent
     Then each is decided within 5 ms, at most 2 of them waited, and at least 1 is admitted
 
+  # A draw during the close, for a customer of whom the node had no state, ended the close half-way.
+  Scenario: A node that closes decides about what waits, and about what follows it
+    Given a node whose owner is another one
+    When 1 request enters, and the answer that each request must ask comes from the owner
+    And a request waits, behind which one of another customer waits on its connection
+    And the node closes its allowances
+    Then both requests are decided
+
   Scenario Outline: A call whose outcome is <outcome> counts <draws> times
     Given a caller server whose customer has an allowance of <allowance>
     When a call of the customer is dispatched with the outcome <outcome>
--- a/foxtailproxy/tests/steps/allowances.py
+++ b/foxtailproxy/tests/steps/allowances.py
@@ -188,6 +188,27 @@
     assert isinstance(context.results[-1][0], NotRun) == (outcome == "rejected")
 
 
+@when("a request waits, behind which one of another customer waits on its connection")
+def step_follower(context: Any) -> None:
+    context.results.clear()
+    draws = context.node.draws
+    other = CustomerRule("other", rate_per_s=10, burst=10)
+    draws.draw(context.rule, "first").addCallback(context.results.append).addCallback(
+        lambda _: draws.draw(other, "second").addCallback(context.results.append)
+    )
+    assert not context.results
+
+
+@when("the node closes its allowances")
+def step_close(context: Any) -> None:
+    context.node.close()
+
+
+@then("both requests are decided")
+def step_both_decided(context: Any) -> None:
+    assert len(context.results) == 2, context.results
+
+
 @when("{count:d} requests enter, {interval:d} ms apart, and the owner stays silent")
 def step_silent(context: Any, count: int, interval: int) -> None:
     context.results.clear()
