Draw nothing for a customer whose limit was removed while its request waited

Cause: a call with a key keeps its customer's terms while it waits for its claim. Change: draws are free for customers that the configuration in force does not limit.

--- a/foxtailproxy/customers/allowance_client.py
+++ b/foxtailproxy/customers/allowance_client.py
@@ -223,6 +223,7 @@
         self.given_back = 0
         self.unanswered = 0
         self.usage_by_customer: dict[int, Usage] = {}
+        self._limited: frozenset[int] | None = None
         self._clock = clock
         self._rng = rng
         self._owners = owners
@@ -246,7 +247,7 @@
 
         The result fires at once, or after a round trip to the owner at most.
         """
-        if not rule.rate_per_s:
+        if not rule.rate_per_s or not self._is_limited(rule):
             return succeed(FREE)
         now_ms = self._clock.now_ms()
         usage = self._usage(rule, now_ms)
@@ -279,13 +280,22 @@
 
     def set_customers(self, rules: Iterable[CustomerLimit]) -> None:
         """Apply a configuration: forget the customers that it no longer limits."""
-        limited = {customer_digest(rule.name) for rule in rules if rule.rate_per_s}
+        limited = frozenset(customer_digest(rule.name) for rule in rules if rule.rate_per_s)
+        self._limited = limited
         for customer in self.usage_by_customer.keys() - limited:
             usage = self.usage_by_customer.pop(customer)
             cancel_timer(usage.timer)
             for waiter in usage.waiters:
                 waiter.done.callback(FREE)
 
+    def _is_limited(self, rule: CustomerLimit) -> bool:
+        """Return whether the configuration in force limits a customer.
+
+        A request that waited since an earlier one may have a limit that was removed. No owner would
+        answer for it, so that its draw would be reported again and again.
+        """
+        return self._limited is None or customer_digest(rule.name) in self._limited
+
     def _usage(self, rule: CustomerLimit, now_ms: float) -> Usage:
         """Return the state of a customer; a new owner's stream begins without draws."""
         customer = customer_digest(rule.name)
--- a/foxtailproxy/tests/allowances.feature
+++ b/foxtailproxy/tests/allowances.feature
@@ -46,6 +46,13 @@
     When 100 requests of a customer without a limit enter
     Then all are admitted, no datagram was sent and no timer runs
 
+  # Its draw was reported every 250 ms until the next configuration, as no owner answered for it.
+  Scenario: A request that waited while the limit of its customer was removed costs nothing
+    Given a node whose owner is another one
+    When a configuration without limits is adopted
+    And 5 requests enter, 300 ms apart, with the limit of an earlier one
+    Then all are admitted, no datagram was sent and no timer runs
+
   Scenario Outline: A node takes no answer from <source>
     Given a node whose owner is another one
     When 1 request enters, and the answer that the level is closed comes from <source>
--- a/foxtailproxy/tests/steps/allowances.py
+++ b/foxtailproxy/tests/steps/allowances.py
@@ -151,6 +151,18 @@
         _enter(context, CustomerRule("free"))
 
 
+@when("a configuration without limits is adopted")
+def step_no_limits(context: Any) -> None:
+    context.node.set_customers([])
+
+
+@when("{count:d} requests enter, {interval:d} ms apart, with the limit of an earlier one")
+def step_earlier_limit(context: Any, count: int, interval: int) -> None:
+    for _ in range(count):
+        _enter(context, context.rule)
+        advance(context.clock, interval)
+
+
 @then("all are admitted, no datagram was sent and no timer runs")
 def step_nothing_spent(context: Any) -> None:
     assert all(isinstance(drawn, Drawn) for drawn, _ in context.results)
