Send no call whose caller left while it waited for its draw

Cause: while a call waits for the owner's answer the dispatcher does not know it, so that a cancellation (the caller left, or got the outcome at its deadline) had no effect: the call was sent and its draw spent. Change: the caller server notes the calls that wait for a draw; a cancelled one is not sent, and its draw is given back.

--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -134,6 +134,7 @@
         self._dialect = dialect
         self._authentication = Authentication(metrics.authentications, freshness)
         self._allowances = allowances
+        self._drawing: set[Call] = set()
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Handle one request from a caller."""
@@ -172,6 +173,7 @@
 
     def cancel(self, call: Call) -> None:
         """Cancel the sends that may run again; the caller is gone or already has an outcome."""
+        self._drawing.discard(call)
         self._dispatcher.cancel(call)
 
     def _reject(self, exchange: ServerExchange, rejection: NotRun) -> None:
@@ -364,9 +366,16 @@
             return Error(NotRun(NotRunReason.NO_CONFIGURATION))
         if call.customer is None or self._allowances is None:
             return await self._dispatcher.run(call, rule_book)
+        self._drawing.add(call)
         drawn = await self._allowances.draw(call.customer, call.attempt_id)
+        is_cancelled = call not in self._drawing
+        self._drawing.discard(call)
         if isinstance(drawn, NotRun):
             return Error(drawn)
+        if is_cancelled:
+            # The dispatcher does not know the call yet, so that it could not be cancelled there.
+            self._allowances.give_back(drawn)
+            return Error(NotRun(NotRunReason.CANCELLED))
         outcome = await self._dispatcher.run(call, rule_book)
         if outcome.is_error() and isinstance(outcome.error, NotRun):
             self._allowances.give_back(drawn)
--- a/foxtailproxy/tests/allowances.feature
+++ b/foxtailproxy/tests/allowances.feature
@@ -79,6 +79,12 @@
     And the node closes its allowances
     Then both requests are decided
 
+  # The call was sent and its draw spent, although its caller had left or got the outcome already.
+  Scenario: A call whose caller leaves while it waits for its draw is not sent
+    Given a caller server whose customer has an allowance of 1
+    When the caller of a call leaves while the call waits for its draw
+    Then it was sent 0 times, and the allowance counts 0 draws
+
   Scenario Outline: A call whose outcome is <outcome> counts <draws> times
     Given a caller server whose customer has an allowance of <allowance>
     When a call of the customer is dispatched with the outcome <outcome>
--- a/foxtailproxy/tests/steps/allowances.py
+++ b/foxtailproxy/tests/steps/allowances.py
@@ -9,7 +9,7 @@
 import msgspec
 from behave import given, then, when
 from expression import Error, Ok
-from twisted.internet.defer import ensureDeferred, succeed
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
 from foxtailproxy.caller_server import CallerServer
 from foxtailproxy.clock import Clock
@@ -272,6 +272,9 @@
         self.calls += 1
         return self.outcome
 
+    def cancel(self, call: Any) -> None:
+        """Do nothing, as the real one does for a call that it does not run yet."""
+
 
 @given("a caller server whose customer has an allowance of {draws:d}")
 def step_caller_server(context: Any, draws: int) -> None:
@@ -304,6 +307,18 @@
     ensureDeferred(context.server._dispatch(call))
 
 
+@when("the caller of a call leaves while the call waits for its draw")
+def step_caller_leaves(context: Any) -> None:
+    drawn: Deferred[Any] = Deferred()
+    draw = context.allowance.draw
+    context.allowance.draw = lambda *args: drawn.addCallback(lambda _: draw(*args))
+    context.dispatcher.outcome = Ok(None)
+    call: Any = type("Call", (), {"customer": CustomerRule(NAME), "attempt_id": "id"})
+    ensureDeferred(context.server._dispatch(call))
+    context.server.cancel(call)
+    drawn.callback(None)
+
+
 @then("it was sent {sent:d} times, and the allowance counts {draws:d} draws")
 def step_dispatched(context: Any, sent: int, draws: int) -> None:
     assert (context.dispatcher.calls, context.allowance.draws) == (sent, draws)
