--- a/foxtailproxy/tests/allowances.feature
+++ b/foxtailproxy/tests/allowances.feature
@@ -46,6 +46,13 @@
     When 100 requests of a customer without a limit enter
     Then all are admitted, no datagram was sent and no timer runs
 
+  # Its draw was reported every 250 ms until the next configuration, as no owner answered for it.
+  Scenario: A request that waited while the limit of its customer was removed costs nothing
+    Given a node whose owner is another one
+    When a configuration without limits is adopted
+    And 5 requests enter, 300 ms apart, with the limit of an earlier one
+    Then all are admitted, no datagram was sent and no timer runs
+
   Scenario Outline: A node takes no answer from <source>
     Given a node whose owner is another one
     When 1 request enters, and the answer that the level is closed comes from <source>
@@ -64,6 +71,20 @@
     And 20 requests enter, 20 ms apart, and the owner stays silent
     Then each is decided within 5 ms, at most 2 of them waited, and at least 1 is admitted
 
+  # A draw during the close, for a customer of whom the node had no state, ended the close half-way.
+  Scenario: A node that closes decides about what waits, and about what follows it
+    Given a node whose owner is another one
+    When 1 request enters, and the answer that each request must ask comes from the owner
+    And a request waits, behind which one of another customer waits on its connection
+    And the node closes its allowances
+    Then both requests are decided
+
+  # The call was sent and its draw spent, although its caller had left or got the outcome already.
+  Scenario: A call whose caller leaves while it waits for its draw is not sent
+    Given a caller server whose customer has an allowance of 1
+    When the caller of a call leaves while the call waits for its draw
+    Then it was sent 0 times, and the allowance counts 0 draws
+
   Scenario Outline: A call whose outcome is <outcome> counts <draws> times
     Given a caller server whose customer has an allowance of <allowance>
     When a call of the customer is dispatched with the outcome <outcome>
--- a/foxtailproxy/tests/steps/allowances.py
+++ b/foxtailproxy/tests/steps/allowances.py
@@ -9,7 +9,7 @@
 import msgspec
 from behave import given, then, when
 from expression import Error, Ok
-from twisted.internet.defer import ensureDeferred, succeed
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
 from foxtailproxy.caller_server import CallerServer
 from foxtailproxy.clock import Clock
@@ -151,6 +151,18 @@
         _enter(context, CustomerRule("free"))
 
 
+@when("a configuration without limits is adopted")
+def step_no_limits(context: Any) -> None:
+    context.node.set_customers([])
+
+
+@when("{count:d} requests enter, {interval:d} ms apart, with the limit of an earlier one")
+def step_earlier_limit(context: Any, count: int, interval: int) -> None:
+    for _ in range(count):
+        _enter(context, context.rule)
+        advance(context.clock, interval)
+
+
 @then("all are admitted, no datagram was sent and no timer runs")
 def step_nothing_spent(context: Any) -> None:
     assert all(isinstance(drawn, Drawn) for drawn, _ in context.results)
@@ -188,6 +200,27 @@
     assert isinstance(context.results[-1][0], NotRun) == (outcome == "rejected")
 
 
+@when("a request waits, behind which one of another customer waits on its connection")
+def step_follower(context: Any) -> None:
+    context.results.clear()
+    draws = context.node.draws
+    other = CustomerRule("other", rate_per_s=10, burst=10)
+    draws.draw(context.rule, "first").addCallback(context.results.append).addCallback(
+        lambda _: draws.draw(other, "second").addCallback(context.results.append)
+    )
+    assert not context.results
+
+
+@when("the node closes its allowances")
+def step_close(context: Any) -> None:
+    context.node.close()
+
+
+@then("both requests are decided")
+def step_both_decided(context: Any) -> None:
+    assert len(context.results) == 2, context.results
+
+
 @when("{count:d} requests enter, {interval:d} ms apart, and the owner stays silent")
 def step_silent(context: Any, count: int, interval: int) -> None:
     context.results.clear()
@@ -239,6 +272,9 @@
         self.calls += 1
         return self.outcome
 
+    def cancel(self, call: Any) -> None:
+        """Do nothing, as the real one does for a call that it does not run yet."""
+
 
 @given("a caller server whose customer has an allowance of {draws:d}")
 def step_caller_server(context: Any, draws: int) -> None:
@@ -271,6 +307,18 @@
     ensureDeferred(context.server._dispatch(call))
 
 
+@when("the caller of a call leaves while the call waits for its draw")
+def step_caller_leaves(context: Any) -> None:
+    drawn: Deferred[Any] = Deferred()
+    draw = context.allowance.draw
+    context.allowance.draw = lambda *args: drawn.addCallback(lambda _: draw(*args))
+    context.dispatcher.outcome = Ok(None)
+    call: Any = type("Call", (), {"customer": CustomerRule(NAME), "attempt_id": "id"})
+    ensureDeferred(context.server._dispatch(call))
+    context.server.cancel(call)
+    drawn.callback(None)
+
+
 @then("it was sent {sent:d} times, and the allowance counts {draws:d} draws")
 def step_dispatched(context: Any, sent: int, draws: int) -> None:
     assert (context.dispatcher.calls, context.allowance.draws) == (sent, draws)
