Show where a request would go without sending it

Operators could explain a request only from the logs after it had been sent. To see why a request would be rejected or leave its data centre, they had to send one.

`foxtailproxy where` asks a node's admin port (`POST /where`). The node's own placement and router decide on copies of what a decision changes; queries, trial calls, shares, budgets, allowances and the round-robin of routes stay as they are. Customers are given by name, and an unknown name is not repeated, since it may be a key.

--- a/foxtailproxy/admin.py
+++ b/foxtailproxy/admin.py
@@ -9,13 +9,16 @@
 from twisted.web.server import Site
 
 from foxtailproxy import __version__
+from foxtailproxy.choice.preview_report import WhereQuery
 from foxtailproxy.metrics import MetricsExport
 from foxtailproxy.models.messages import Announcement, MemberRecord, PacketKind
 
 if TYPE_CHECKING:
     from collections import Counter
 
+    from foxtailproxy.choice.preview import PreviewSources
     from foxtailproxy.node import Node
+    from foxtailproxy.outcome import NotRun
 
 MAX_BODY_BYTES = 65536
 
@@ -130,6 +133,25 @@
             return _error_response(request, 404, "no-configuration")
         return _json_response(request, config)
 
+    @app.route("/where", methods=["POST"])
+    def where(self, request: Any) -> bytes:
+        """Return where a request would go now, and why; nothing is sent or changed.
+
+        The question is in the body, so that no proxy or log keeps it with the URL.
+        """
+        from foxtailproxy.choice.preview import PreviewError, preview
+
+        try:
+            query = msgspec.json.decode(request.content.read(MAX_BODY_BYTES), type=WhereQuery)
+            report = preview(preview_sources(self._node), query)
+        except msgspec.MsgspecError:
+            # The text of the error could repeat a part of the body.
+            return _error_response(request, 400, "malformed-request", "invalid body")
+        except PreviewError as error:
+            return _error_response(request, error.status, error.error, str(error))
+        self._node.metrics.previews += 1
+        return _json_response(request, report)
+
     @app.route("/histograms", methods=["GET"])
     def histograms(self, request: Any) -> bytes:
         """Return the latency of each class and tenant."""
@@ -169,6 +191,7 @@
             **_crossing_gauges(self._node.router.crossing.left_by_scope()),
             "evacuated_data_centers": len(self._node.evacuations.in_force),
             "store_era": self._node.store_era.number,
+            "previews": self._node.metrics.previews,
             "no_allowed_target": self._node.metrics.no_allowed_target,
             "clients_held_bytes": self._node.client_bounds.memory.total_bytes,
             "clients_shed": self._node.client_bounds.memory.shed_count,
@@ -228,6 +251,38 @@
         return _json_response(request, {"released": fingerprint})
 
 
+def preview_sources(node: Node) -> PreviewSources:
+    """Return what a preview reads of a node."""
+    from foxtailproxy.choice.preview import LocalState, PreviewSources
+
+    target, record = node.target, node.table.local_record
+    state = "leaving" if target.leaving else "down" if target.down else "serving"
+    announcement = target.announcement
+    local = LocalState(
+        "" if announcement is None else announcement.service,
+        state,
+        target.admission.cold.cold,
+        not target.refusals.open,
+    )
+
+    def status_of(rejection: NotRun) -> int:
+        return node.dialect.failure_response(rejection, "", rejection.retry_after_ms)[0].status
+
+    return PreviewSources(
+        node.clock,
+        node.state.name,
+        record.region,
+        record.data_center,
+        node.config_sync,
+        node.router,
+        node.allowances.draws,
+        node.freshness.stale,
+        local,
+        node.paid_call_budget.may_consume,
+        status_of,
+    )
+
+
 def _member_status(member: MemberRecord) -> MemberStatus:
     return msgspec.convert(member, MemberStatus, from_attributes=True)
 
--- a/foxtailproxy/choice/crossing.py
+++ b/foxtailproxy/choice/crossing.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -110,6 +110,15 @@
         self._rng = rng
         self._share_by_scope: dict[str, CrossingShare] = {}
 
+    def copied_shares(self) -> dict[str, CrossingShare]:
+        """Return a copy of the shares by scope."""
+        return {scope: replace(share) for scope, share in self._share_by_scope.items()}
+
+    def share_of(self, scope: str) -> float:
+        """Return the share of the calls of a scope that may leave, from 0 to 1."""
+        share = self._share_by_scope.get(scope)
+        return INITIAL_SHARE if share is None else share.value
+
     def leaves(self, scope: str, inputs: CrossingInputs) -> bool:
         """Return whether a call leaves; `scope` names its service and what it would leave."""
         share = self._share_by_scope.setdefault(scope, CrossingShare())
--- a/foxtailproxy/cli.py
+++ b/foxtailproxy/cli.py
@@ -194,6 +194,36 @@
     _print_result(report, format_status(report), as_json)
 
 
+@cli.command(epilog=EXIT_CODES)
+@click.option(
+    "--node",
+    "node_address",
+    required=True,
+    metavar="IP:PORT",
+    type=AddressType(),
+    help="Admin port of the node at which the request would enter.",
+)
+@click.option("--host", required=True, help="Host of the request.")
+@click.option("--method", default="GET", show_default=True, help="Method of the request.")
+@click.option("--path", default="/", show_default=True, help="Path of the request.")
+@click.option("--customer", default="", metavar="NAME", help="Name of its customer, never a key.")
+@json_option
+def where(
+    node_address: str, host: str, method: str, path: str, customer: str, as_json: bool
+) -> None:
+    """Show where a request would go now, and why, without sending it.
+
+    Example: foxtailproxy where --node 127.0.0.1:7103 --host kalender.example --path /days
+    """
+    from foxtailproxy.choice.preview_report import WhereQuery, WhereReport
+    from foxtailproxy.commands.client import request_admin, run_async
+    from foxtailproxy.commands.where import format_where
+
+    query = WhereQuery(host, method, path, customer)
+    report = run_async(request_admin("POST", node_address, "/where", WhereReport, query))
+    _print_result(report, format_where(report), as_json)
+
+
 @cli.command(epilog=EXIT_CODES)
 @address_argument
 @json_option
--- a/foxtailproxy/commands/client.py
+++ b/foxtailproxy/commands/client.py
@@ -40,7 +40,11 @@
 
 
 async def request_admin(
-    method: str, address: str, path: str, response_type: type[ResultT]
+    method: str,
+    address: str,
+    path: str,
+    response_type: type[ResultT],
+    body: msgspec.Struct | None = None,
 ) -> ResultT:
     """Send a request to the admin port of a node and return the decoded response.
 
@@ -48,15 +52,17 @@
     """
     url = f"http://{address}{path}"
     try:
-        response = await treq.request(method, url, timeout=REQUEST_TIMEOUT_S, persistent=False)
-        body = await treq.content(response)
+        data = None if body is None else msgspec.json.encode(body)
+        response = await treq.request(
+            method, url, data=data, timeout=REQUEST_TIMEOUT_S, persistent=False
+        )
+        content = await treq.content(response)
     except Exception as error:
         raise UnreachableError(f"{url}: request failed: {type(error).__name__}") from error
     if response.code >= 300:
-        raise ResponseError(
-            f"{url}: error response with status {response.code}: {body.decode('utf-8', 'replace')}"
-        )
+        text = content.decode("utf-8", "replace")
+        raise ResponseError(f"{url}: error response with status {response.code}: {text}")
     try:
-        return msgspec.json.decode(body, type=response_type)
+        return msgspec.json.decode(content, type=response_type)
     except msgspec.MsgspecError as error:
         raise ResponseError(f"{url}: invalid response: {error}") from error
--- a/foxtailproxy/config/rules.py
+++ b/foxtailproxy/config/rules.py
@@ -238,6 +238,24 @@
     rule: ClassRule
 
 
+@dataclass(frozen=True, slots=True)
+class PeekedMatch:
+    """Match of a request that is not sent, with the route that it belongs to, if any.
+
+    `weight_by_service` holds the weights of the route, `credit_by_service` the credits that its
+    next request compares; the latter is empty before the first request.
+    """
+
+    match: Match
+    route: RouteRule | None
+    weight_by_service: dict[str, int]
+    credit_by_service: dict[str, int]
+
+
+DEFAULT_CLASS = "default"
+"""Name of the class of requests that match no other one."""
+
+
 class RouteTable:
     """Routes of one host, looked up by path prefix.
 
@@ -270,6 +288,10 @@
             end -= 1
         return None
 
+    def peek_route(self, rule: RouteRule) -> WeightedRoute | None:
+        """Return the state of a route, or `None` before its first request."""
+        return self._route_by_prefix.get(rule.path_prefix)
+
     def _weighted_route(self, rule: RouteRule) -> WeightedRoute:
         route = self._route_by_prefix.get(rule.path_prefix)
         if route is None:
@@ -312,6 +334,13 @@
         self._credit_by_name[chosen] -= self._total_weight
         return self._match_by_name.get(chosen)
 
+    def next_credits(self) -> dict[str, int]:
+        """Return the credits that the next request compares, by service; changes none."""
+        return {
+            name: self._credit_by_name[name] + weight
+            for name, weight in self._weight_by_name.items()
+        }
+
 
 ROUTE_CLASS_FIELDS = tuple(
     field
@@ -375,11 +404,44 @@
             return None
         return Match(service, self._match_class(service, method, path))
 
+    def peek(self, host: str, method: str, path: str) -> PeekedMatch | None:
+        """Return what `match` would return next, leaving the round-robin unchanged."""
+        name = host.lower().partition(":")[0]
+        table = self._route_table_by_host.get(name)
+        route = None if table is None else table.find_rule(path)
+        if table is not None and route is not None:
+            return self._peek_route(table, route)
+        service = self._service_by_host.get(name)
+        if service is None:
+            return None
+        rule = self._find_class(service, method, path)
+        rule = rule or ClassRule(service.name, DEFAULT_CLASS)
+        return PeekedMatch(Match(service, rule), None, {}, {})
+
+    def _peek_route(self, table: RouteTable, rule: RouteRule) -> PeekedMatch | None:
+        weights = {name: weight for name, weight in route_weights(rule).items() if weight}
+        state = table.peek_route(rule)
+        credits = {} if state is None else state.next_credits()
+        # The credits of a route begin at random values on its first request.
+        expected = credits or weights
+        chosen = max(expected, key=lambda name: expected[name], default="")
+        service = self.service_by_name.get(chosen)
+        if service is None:
+            return None
+        match = Match(service, route_class(rule, chosen))
+        return PeekedMatch(match, rule, weights, credits)
+
     def _match_class(self, service: ServiceRule, method: str, path: str) -> ClassRule:
-        for rule in self._classes_by_service.get(service.name, ()):
-            if path.startswith(rule.path_prefix) and (not rule.methods or method in rule.methods):
-                return rule
+        rule = self._find_class(service, method, path)
+        if rule is not None:
+            return rule
         # One object for all requests, so that the rules made from it are cached.
         return self._default_class_by_service.setdefault(
-            service.name, ClassRule(service.name, "default")
+            service.name, ClassRule(service.name, DEFAULT_CLASS)
         )
+
+    def _find_class(self, service: ServiceRule, method: str, path: str) -> ClassRule | None:
+        for rule in self._classes_by_service.get(service.name, ()):
+            if path.startswith(rule.path_prefix) and (not rule.methods or method in rule.methods):
+                return rule
+        return None
--- a/foxtailproxy/config_sync.py
+++ b/foxtailproxy/config_sync.py
@@ -142,6 +142,7 @@
         self.store_lost = False
         self.current: ConfigObject | None = None
         self.rule_book: RuleBook | None = None
+        self.adopted_ms = 0.0
         self.on_store_answer: Callable[[float], None] | None = None
         self._clock = clock
         self._store = store
@@ -204,6 +205,7 @@
             return False
         self.current = config
         self.rule_book = rule_book
+        self.adopted_ms = self._clock.now_ms()
         log.info(
             "config_adopted",
             generation=config.generation,
--- a/foxtailproxy/customers/allowance_client.py
+++ b/foxtailproxy/customers/allowance_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 import structlog
@@ -128,6 +128,21 @@
     stream: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class AllowanceState:
+    """What is known at this node of a customer's allowance; times in ms.
+
+    `admits` tells whether the next request is admitted; `None` if the owner is asked or a local
+    share begins. `level_age_ms` is the age of the owner's last answer, -1 without one.
+    """
+
+    name: str
+    admits: bool | None
+    owner_id: str = ""
+    level_age_ms: float = -1.0
+    wait_ms: float = 0.0
+
+
 FREE = Drawn()
 """Draw of a request whose customer has no limit."""
 
@@ -276,6 +291,35 @@
         usage.total -= 1
         self._reports.wake()
 
+    def peek(self, rule: CustomerLimit) -> AllowanceState:
+        """Return what `draw` would do with a request, without drawing or asking."""
+        usage = self.usage_by_customer.get(customer_digest(rule.name))
+        if not rule.rate_per_s:
+            return AllowanceState("no-limit", True)
+        if usage is None:
+            return AllowanceState("no-requests-yet", True)
+        now_ms = self._clock.now_ms()
+        age_ms = now_ms - usage.level_ms if usage.level_ms > -math.inf else -1.0
+        state, admits, wait_ms = self._peek_level(usage, now_ms)
+        return AllowanceState(state, admits, usage.owner.node_id, age_ms, wait_ms)
+
+    @staticmethod
+    def _peek_level(usage: Usage, now_ms: float) -> tuple[str, bool | None, float]:
+        """Return the state of a customer, whether it admits a request, and the wait in ms."""
+        if usage.total < usage.limit:
+            return "granted", True, 0.0
+        closed_ms = usage.closed_left_ms(now_ms)
+        if closed_ms:
+            return "closed", False, closed_ms
+        if usage.is_silent(now_ms):
+            # Without a share so far, the first request begins one.
+            share = None if usage.local is None else replace(usage.local)
+            if share is None:
+                return "owner-silent", None, 0.0
+            admits = share.try_draw(now_ms)
+            return "owner-silent", admits, 0.0 if admits else share.wait_ms()
+        return ("open", True, 0.0) if usage.is_open() else ("ask", None, 0.0)
+
     def set_customers(self, rules: Iterable[CustomerLimit]) -> None:
         """Apply a configuration: forget the customers that it no longer limits."""
         limited = {customer_digest(rule.name) for rule in rules if rule.rate_per_s}
--- a/foxtailproxy/metrics.py
+++ b/foxtailproxy/metrics.py
@@ -47,6 +47,7 @@
         self.claims = 0
         self.authentications: Counter[str] = Counter()
         self.no_allowed_target = 0
+        self.previews = 0
 
     def record(self, class_key: str, tenant: str, outcome: str, elapsed_ms: float) -> None:
         """Record the outcome and latency of a call."""
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -23,7 +23,7 @@
 from foxtailproxy.constraints.evacuation import EVACUATION_KIND, Evacuations
 from foxtailproxy.customers.freshness import ConfigFreshness
 from foxtailproxy.customers.node_allowances import NodeAllowances
-from foxtailproxy.dialect import FoxtailDialect
+from foxtailproxy.dialect import Dialect, FoxtailDialect
 from foxtailproxy.dispatch import Dispatcher
 from foxtailproxy.first_announcement import FirstAnnouncement
 from foxtailproxy.gossip import Gossip
@@ -137,7 +137,10 @@
         self.paid_call_budget = TokenBucket(clock, fleet.paid_call_bytes_per_s)
         uses_adapter = self.settings.platform.adapter
         upstream = self.settings.upstream
-        dialect = PlatformDialect(self._local_service) if uses_adapter else FoxtailDialect()
+        dialect: Dialect = (
+            PlatformDialect(self._local_service) if uses_adapter else FoxtailDialect()
+        )
+        self.dialect = dialect
         self.target = Target(clock, reactor, self, dialect, upstream, self.settings.node.log_calls)
         self.target.knows_left_processes = False
         self.target.admission.cold.terms = self.settings.cold_start
--- a/foxtailproxy/routing.py
+++ b/foxtailproxy/routing.py
@@ -175,6 +175,7 @@
     ) -> None:
         self.links = links or LinksSection()
         self._answer_bytes_by_class: dict[str, float] = {}
+        self.rng = rng
         self.index = TargetIndex(clock, region, data_center, rng)
         self.local_health = TargetHealth(clock)
         self.crossing = CrossingPolicy(clock, rng)
@@ -382,7 +383,7 @@
         """Build the choice of a peer, or of the local target if `best` is `None`."""
         health = self.local_health if best is None else best.health
         if health.ejected:
-            health.begin_trial()
+            self._begin_trial(health)
         if best is None:
             load = self._target.load()
             age_ms = load.slowness_age_ms if load.slowness else -1.0
@@ -397,6 +398,9 @@
         estimate = ChoiceEstimate(best.member.node_id, expected_ms, usual_ms, age_ms, load_age_ms)
         return PeerChoice(best, decline_policy, estimate)
 
+    def _begin_trial(self, health: TargetHealth) -> None:
+        health.begin_trial()
+
     def _decline_policy(
         self,
         best: TargetView | None,
--- a/foxtailproxy/target_index.py
+++ b/foxtailproxy/target_index.py
@@ -78,6 +78,22 @@
         for targets in self._targets_by_service.values():
             targets.alive_by_regions.clear()
 
+    def copy(self, rng: random.Random) -> TargetIndex:
+        """Return an index of the same views whose draws change nothing in this one."""
+        index = TargetIndex(self._clock, self._region, self._data_center, rng)
+        index.view_by_id = self.view_by_id
+        index._ejected_ids = set(self._ejected_ids)
+        index._evacuated = self._evacuated
+        index._targets_by_service = {
+            service: ServiceTargets(targets.ids, targets.expectation)
+            for service, targets in self._targets_by_service.items()
+        }
+        return index
+
+    def is_evacuated(self, data_center: str) -> bool:
+        """Return whether the targets of a data centre are not used."""
+        return data_center in self._evacuated
+
     def allows_local(self, regions: list[str]) -> bool:
         """Return whether calls with these allowed regions may run at the local target."""
         return self._data_center not in self._evacuated and is_allowed(self._region, regions)
--- a/foxtailproxy/target_view.py
+++ b/foxtailproxy/target_view.py
@@ -90,6 +90,11 @@
         """Whether the target's node ever reported its load."""
         return self._load is not None
 
+    @property
+    def latest_load(self) -> Load | None:
+        """Latest load report, if there is any."""
+        return self._load
+
     @property
     def load_age_ms(self) -> float:
         """Age of the latest load report in ms; infinite if there is none."""
--- a/foxtailproxy/tests/commands.feature
+++ b/foxtailproxy/tests/commands.feature
@@ -18,6 +18,8 @@
       | config check DATA/none.ini                                  | 3    | No such file                     |
       | node DATA/node-valid.ini --check                            | 0    | valid                            |
       | node DATA/node-many-errors.ini                              | 3    | [limits] silence_ms = '5'        |
+      | where --node 127.0.0.1:1 --host kalender                    | 5    | ConnectionRefusedError           |
+      | where --host kalender                                       | 2    | Missing option '--node'          |
       | status 127.0.0.1:1                                          | 5    | ConnectionRefusedError           |
       | config show --platform http://127.0.0.1:1                   | 5    | platform: ConnectionRefusedError |
       | config apply DATA/rules-valid.ini --platform http://127.0.0.1:1 | 5 | platform: ConnectionRefusedError |
--- a/foxtailproxy/token_bucket.py
+++ b/foxtailproxy/token_bucket.py
@@ -45,6 +45,11 @@
         self._refill()
         return self._tokens
 
+    def may_consume(self, size_bytes: int) -> bool:
+        """Return whether `try_consume` would consume this now; changes nothing."""
+        refilled = self._tokens + (self._clock.now_ms() - self._last_ms) * self._rate_per_ms
+        return min(refilled, self._capacity) >= size_bytes
+
     def try_consume(self, size_bytes: int, advance_share: float = 0.0) -> bool:
         """Consume tokens if there are enough.
 
