--- a/foxtailproxy/tests/admission.feature
+++ b/foxtailproxy/tests/admission.feature
@@ -75,6 +75,12 @@
       | one sends seven times as many    | 42     | 100   | 6      | 100   | 76      | 81     | 19      | 20     |
       | both fit                         | 10     | 100   | 5      | 100   | 33      | 34     | 16      | 17     |
 
+  # Guards against memory that grows with the tenants: without customers callers choose their names.
+  Scenario: Calls of many tenants that never wait
+    Given a target with 1 slots
+    When a call of each of 1000 tenants runs, one after the other
+    Then the service time of at most 256 tenants is kept
+
   Scenario: Classes share the slots by weight and service time
     Given a target with 1 slots
     When 40 heavy calls of weight 3 and 40 light calls of weight 1 wait
--- a/foxtailproxy/tests/steps/admission.py
+++ b/foxtailproxy/tests/steps/admission.py
@@ -154,3 +154,18 @@
     percent = {tenant: 100 * used / total_ms for tenant, used in context.used_ms.items()}
     assert share_a <= percent["A"] <= most_a, percent
     assert share_b <= percent["B"] <= most_b, percent
+
+
+@when("a call of each of {count:d} tenants runs, one after the other")
+def step_many_tenants(context: Any, count: int) -> None:
+    tenants = [f"t{number}" for number in range(count)]
+    context.used_ms = dict.fromkeys(tenants, 0.0)
+    for tenant in tenants:
+        _send_and_end(context, tenant, 1)
+        advance(context.clock, 2)
+
+
+@then("the service time of at most {count:d} tenants is kept")
+def step_kept_tenants(context: Any, count: int) -> None:
+    kept = {len(queue.shares) for queue in context.admission._queue_by_key.values()}
+    assert kept and max(kept) <= count, kept
