--- a/foxtailproxy/models/settings.py
+++ b/foxtailproxy/models/settings.py
@@ -139,6 +139,15 @@
     """
     Use the platform's interface with callers and upstreams, and read the configuration in its format.
     """
+    evacuations: Annotated[
+        bool,
+        Meta(
+            description="Watch the store for data centres that operators evacuate; each watcher keeps one more watch waiting."
+        ),
+    ] = False
+    """
+    Watch the store for data centres that operators evacuate; each watcher keeps one more watch waiting.
+    """
 
 
 class PeersSection(Struct):
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -185,7 +185,7 @@
             lambda members: self.gossip.send_state(members),
             PlatformConfigSource() if uses_adapter else IniConfigSource(),
             self.store_era,
-            [KindWatch(self.store, EVACUATION_KIND, self.store_era, self.evacuations)],
+            self._evacuation_watches(),
         )
         self.retry_budgets = RetryBudgets(
             clock, self._retry_limits(), lambda: len(self.table.live_peers()) + 1
@@ -412,7 +412,8 @@
         timeout = self.clock.sleep(MAX_DISCOVERY_MS)
         await DeferredList([discovery, timeout], fireOnOneCallback=True)
         # Sent before the registration, whose answer lets calls in; nothing waits for it.
-        ensureDeferred(self.evacuations.read(self.store))  # type: ignore[arg-type]
+        if self.settings.platform.evacuations:
+            ensureDeferred(self.evacuations.read(self.store))  # type: ignore[arg-type]
         failures = 0
         while self.state.name == "serving":
             self._compare_with_seeds()
@@ -646,6 +647,12 @@
         else:
             self.clock.call_later(MAX_RECORD_WAIT_MS, self._use_target)
 
+    def _evacuation_watches(self) -> list[KindWatch]:
+        """Return the watch of the evacuations, if the settings ask for it."""
+        if not self.settings.platform.evacuations:
+            return []
+        return [KindWatch(self.store, EVACUATION_KIND, self.store_era, self.evacuations)]
+
     def _evacuations_changed(self, data_centers: frozenset[str]) -> None:
         self.router.index.set_evacuated(data_centers)
         self.target.set_evacuated(self.table.local_record.data_center in data_centers)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -24,6 +24,7 @@
 SERVICES = ("kalender", "broneering")
 HOST_BY_SERVICE = {"kalender": "days.example", "broneering": "book.example"}
 STOP_GRACE_S = 6
+EVACUATE_MS = 5000
 LOAD_PAUSE_S = 0.01
 
 
@@ -148,6 +149,7 @@
             "bounds.budget_slack": self.retry_slack,
             "bounds.budget_window_s": 10,
             "bounds.grace_s": STOP_GRACE_S,
+            "bounds.evacuate_ms": EVACUATE_MS,
             "limits.memory_mb": 200,
             "limits.max_fds": 4100,
         }
