--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -174,7 +174,8 @@
             f"caller_port = {member.caller_port}\npeer_port = {member.peer_port}\n"
             f"admin_port = {member.admin_port}\ngossip_port = {member.gossip_port}\n"
             f"log_calls = {str(self.log_calls).lower()}\n{more}"
-            f"[platform]\nurl = {self.platform_url}\nevacuations = true\n[peers]\nseeds = {seeds}\n[limits]\n{limits}\n"
+            f"[platform]\nurl = {self.platform_url}\nevacuations = true\n"
+            f"[peers]\nseeds = {seeds}\n[limits]\n{limits}\n"
         )
         self._spawn(member.node_id, "foxtailproxy", "node", str(settings))
 
