--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -158,8 +158,7 @@
 
     def _on_outcome(self, outcome: Outcome) -> None:
         self._open_count -= 1
-        answered = outcome.is_ok() and outcome.ok.head.status < SERVER_ERROR
-        if not self.settled and (answered or not self._open_count):
+        if not self.settled and (is_success(outcome) or not self._open_count):
             self.settled = True
             self.result.callback(outcome)
         elif outcome.is_ok():
@@ -377,7 +376,7 @@
     ) -> Outcome:
         outcome = await self._send(choice, send)
         progress.record_end(target_id_of(choice), outcome)
-        if outcome.is_error() and self._log_calls:
+        if self._log_calls and not is_success(outcome):
             events.send_failed(send, choice, outcome, send.remaining_ms(self._clock))
         if outcome.is_error() and isinstance(outcome.error, Unknown) and outcome.error.crashed:
             node_id = target_id_of(choice) or self._router.node_id
@@ -428,6 +427,11 @@
     return call.rule.idempotent and failure.reason is not UnknownReason.DEADLINE
 
 
+def is_success(outcome: Outcome) -> bool:
+    """Return whether a target answered without a server error."""
+    return outcome.is_ok() and outcome.ok.head.status < SERVER_ERROR
+
+
 def is_declined(outcome: Outcome) -> bool:
     """Return whether a target declined the call because another one is faster now."""
     return outcome.is_error() and outcome.error.reason is NotRunReason.FASTER_ELSEWHERE
--- a/foxtailproxy/events.py
+++ b/foxtailproxy/events.py
@@ -76,13 +76,14 @@
 
 
 def send_failed(call: Call, choice: Choice, outcome: Outcome, remaining_ms: float) -> None:
-    """Log a failed send, from which the next step of the call is decided."""
+    """Log a failed send, or one that a server error answered, which decide the call's next step."""
     log.info(
         "send_failed",
         attempt=call.attempt_id,
         number=call.send_number,
         outcome=outcome_label(outcome),
         reason=reason_label(outcome),
+        **({"answer_bytes": outcome.ok.body.size} if outcome.is_ok() else {}),
         left_ms=round(remaining_ms),
         **_choice_fields(choice),
     )
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import structlog
+
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import BodyTooLarge, ConnectionLost, HttpError
@@ -14,6 +16,8 @@
 
     from foxtailproxy.http.server import ServerConnection
 
+log = structlog.get_logger()
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 TOO_LARGE_STATUS = 413
@@ -101,6 +105,15 @@
         self.response_started = True
         self._response_body = body
         framing = self._framing_headers(head, body)
+        if body.attached:
+            log.error(
+                "response_body_taken",
+                status=head.status,
+                declared=self._remaining_bytes,
+                received=body.size,
+                held=body.buffered_bytes,
+                earlier_responses=self._connection.response_count,
+            )
         wire_head = messages.format_response(head, framing)
         if body.ended and self._has_body and body.size == self._remaining_bytes:
             # A single write, so that the client reads head and body at once.
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -81,8 +81,9 @@
 
     Responses are sent in the order of the requests, also the one that rejects an invalid request. A
     pipelined request for which `may_overlap` is true is served concurrently with the earlier ones,
-    if all of those are being served. With `bounds`, the connection counts for the bounds of all
-    clients, which may close it, and a body must progress within the idle time.
+    if all of those are being served. `response_count` counts the responses sent. With `bounds`, the
+    connection counts for the bounds of all clients, which may close it, and a body must progress
+    within the idle time.
     """
 
     transport: Any = None
@@ -96,6 +97,7 @@
         bounds: ClientBounds | None = None,
     ) -> None:
         self.closing = False
+        self.response_count = 0
         self._bounds = bounds
         self._reading = False
         self._body_progressed = False
@@ -439,6 +441,7 @@
 
     def exchange_finished(self, exchange: ServerExchange) -> None:
         """Serve the next request, wait for one, or close the connection."""
+        self.response_count += 1
         if self._exchanges and self._exchanges[0] is exchange:
             self._exchanges.popleft()
         if self._bounds is not None and not self._exchanges:
