Show that an error answer loses its body if the call's other send fails later

A look-up is sent to two targets. The first one answers with status 500 and a body while the second still works, and the second one declines the call or is lost. The call ends with the first answer: its length is that of the body, and no byte of the body is left.

--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -1,8 +1,8 @@
 Feature: A call is sent to one target after another until one answers
 
   # A target is ID:<n>ms, which answers after n ms, ID:<n>ms500, which answers with status 500 after n ms,
-  # ID:never, or ID:REASON, which fails at once for that reason. The usual run time is 100 ms, the
-  # objective 400 ms, the deadline 1000 ms.
+  # ID:never, ID:REASON, which fails at once for that reason, or ID:<n>ms-REASON, which fails after n ms. The usual
+  # run time is 100 ms, the objective 400 ms, the deadline 1000 ms.
   Scenario Outline: <case>
     Given targets <targets>
     When a call that <may> run again is dispatched with <attempts> attempts
@@ -28,6 +28,18 @@
       | a lost answer of one that may not run again   | a:upstream-lost b:100ms              | may not | 2        | unknown upstream-lost | 0    | a     | -       |
       | nobody is there                               | -                                    | may     | 2        | not-run no-target     | 0    | -     | -       |
 
+  Scenario Outline: An error answer keeps its body when the call's other send ends as <reason>
+    Given targets a:270ms500 b:200ms-<reason>
+    When a call that may run again is dispatched with 2 attempts
+    Then it ends as answered 500 after 460 ms
+    And it was sent to a b and cancelled at -
+
+    Examples:
+      | reason           |
+      | faster-elsewhere |
+      | overloaded       |
+      | upstream-lost    |
+
   # The loss of an inner call makes the request fail that an upstream runs already.
   Scenario: An inner call is rejected for lack of room by up to four targets
     Given targets a:overloaded b:overloaded c:cold d:queue-full e:100ms
--- a/foxtailproxy/tests/steps/dispatch.py
+++ b/foxtailproxy/tests/steps/dispatch.py
@@ -100,21 +100,21 @@
         target_id = member.node_id
         self.sent.append(target_id)
         behaviour = self.behaviour_by_target[target_id]
-        delayed = re.fullmatch(r"(\d+)ms(500)?", behaviour)
+        delayed = re.fullmatch(r"(\d+)ms(500)?(?:-(.+))?", behaviour)
         if behaviour == "never" or delayed:
             pending: Deferred[Outcome] = Deferred()
             self.open_sends[call.send_id] = (target_id, pending)
             if delayed:
+                reason = delayed[3]
                 status = int(delayed[2] or 200)
-                self.clock.call_later(int(delayed[1]), self._answer, call.send_id, status)
+                outcome = make_failure(reason) if reason else make_answer(status=status)
+                self.clock.call_later(int(delayed[1]), self._end, call.send_id, outcome)
             return await pending
-        if behaviour in list(UnknownReason):
-            return Error(Unknown(UnknownReason(behaviour)))
-        return Error(NotRun(NotRunReason(behaviour)))
+        return make_failure(behaviour)
 
-    def _answer(self, send_id: str, status: int) -> None:
+    def _end(self, send_id: str, outcome: Outcome) -> None:
         if send_id in self.open_sends:
-            self.open_sends.pop(send_id)[1].callback(make_answer(status=status))
+            self.open_sends.pop(send_id)[1].callback(outcome)
 
     def cancel(self, send_id: str) -> None:
         """Cancel a send."""
@@ -127,6 +127,13 @@
         """Do nothing, since each call is sent at once."""
 
 
+def make_failure(reason: str) -> Outcome:
+    """Return the failure of a send."""
+    if reason in list(UnknownReason):
+        return Error(Unknown(UnknownReason(reason)))
+    return Error(NotRun(NotRunReason(reason)))
+
+
 class FakeLocalTarget:
     """Local target, which serves another service."""
 
@@ -199,7 +206,7 @@
 @when("the dispatching node is paused for {ms:d} ms, and the answer has arrived")
 def step_paused_with_answer(context: Any, ms: int) -> None:
     advance(context.clock, ms, step_ms=ms)
-    context.peers._answer(context.call.attempt_id, 200)
+    context.peers._end(context.call.attempt_id, make_answer())
 
 
 @when("the dispatching node is paused for {ms:d} ms, and nothing has arrived")
@@ -241,6 +248,7 @@
     if outcome.is_ok():
         status = outcome.ok.head.status
         actual = "answered" if status == 200 else f"answered {status}"
+        assert outcome.ok.body.buffered() == b"answer", "the body is gone"
     else:
         kind = "not-run" if isinstance(outcome.error, NotRun) else "unknown"
         actual = f"{kind} {outcome.error.reason}"
