Keep the body of an error answer that a call may still end with

Cause: while a call is sent to two targets, a server error that arrives first was discarded, also if it was complete, to free the target's slot. If the second send then failed, the call ended with this answer, whose body was gone; its length was not. An answer that has ended holds no slot and needs no reading, so it is left as it is now. One that is still arriving is read and discarded as before, but is not delivered any more without its beginning: the call ends as unknown (answer-cut).

--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -127,10 +127,14 @@
         self.possible_runs += may_have_run(outcome)
         self.rejections += is_overload_rejection(outcome)
         self.refusals += is_refusing(outcome)
-        if outcome.is_ok():
+        if outcome.is_error():
+            if isinstance(outcome.error, Unknown):
+                self.unknown_failure = outcome.error
+        elif outcome.ok.body.ended:
             self.error_answer = outcome
-        elif isinstance(outcome.error, Unknown):
-            self.unknown_failure = outcome.error
+        else:
+            # Only the current send's outcome can deliver an answer that is still arriving.
+            self.unknown_failure = Unknown(UnknownReason.ANSWER_CUT)
 
     def final_outcome(self, outcome: Outcome) -> Outcome:
         """Return the outcome of the call, given that of its last send."""
@@ -161,7 +165,9 @@
         if not self.settled and (is_success(outcome) or not self._open_count):
             self.settled = True
             self.result.callback(outcome)
-        elif outcome.is_ok():
+        elif outcome.is_ok() and not outcome.ok.body.ended:
+            # A target's slot is held until its answer has been read. One that has ended holds none,
+            # and may become the call's outcome.
             outcome.ok.body.attach(DiscardSink())
 
     def _on_failure(self, failure: Any) -> None:
--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -1,8 +1,8 @@
 Feature: A call is sent to one target after another until one answers
 
   # A target is ID:<n>ms, which answers after n ms, ID:<n>ms500, which answers with status 500 after n ms,
-  # ID:never, ID:REASON, which fails at once for that reason, or ID:<n>ms-REASON, which fails after n ms. The usual
-  # run time is 100 ms, the objective 400 ms, the deadline 1000 ms.
+  # ID:<n>ms500large, whose body does not end, ID:never, ID:REASON, which fails at once for that reason, or
+  # ID:<n>ms-REASON, which fails after n ms. The usual run time is 100 ms, the objective 400 ms, the deadline 1000 ms.
   Scenario Outline: <case>
     Given targets <targets>
     When a call that <may> run again is dispatched with <attempts> attempts
@@ -40,6 +40,12 @@
       | overloaded       |
       | upstream-lost    |
 
+  Scenario: An error answer that loses the start of its body to a hedged send is not delivered
+    Given targets a:270ms500large b:200ms-faster-elsewhere
+    When a call that may run again is dispatched with 2 attempts
+    Then it ends as unknown answer-cut after 460 ms
+    And it was sent to a b and cancelled at -
+
   # The loss of an inner call makes the request fail that an upstream runs already.
   Scenario: An inner call is rejected for lack of room by up to four targets
     Given targets a:overloaded b:overloaded c:cold d:queue-full e:100ms
--- a/foxtailproxy/tests/steps/dispatch.py
+++ b/foxtailproxy/tests/steps/dispatch.py
@@ -100,14 +100,16 @@
         target_id = member.node_id
         self.sent.append(target_id)
         behaviour = self.behaviour_by_target[target_id]
-        delayed = re.fullmatch(r"(\d+)ms(500)?(?:-(.+))?", behaviour)
+        delayed = re.fullmatch(r"(\d+)ms(500)?(large)?(?:-(.+))?", behaviour)
         if behaviour == "never" or delayed:
             pending: Deferred[Outcome] = Deferred()
             self.open_sends[call.send_id] = (target_id, pending)
             if delayed:
-                reason = delayed[3]
-                status = int(delayed[2] or 200)
-                outcome = make_failure(reason) if reason else make_answer(status=status)
+                outcome = make_answer(status=int(delayed[2] or 200))
+                if delayed[3]:
+                    outcome = Ok(Answer(outcome.ok.head, BodyStream(None)))
+                if delayed[4]:
+                    outcome = make_failure(delayed[4])
                 self.clock.call_later(int(delayed[1]), self._end, call.send_id, outcome)
             return await pending
         return make_failure(behaviour)
