Send no response whose body something else has read

Cause: the server compared the declared length with the bytes received, not with those that are left, and a body could be given to a second reader, for which it looked complete and empty. A body has one reader now: for any other it fails with BodyConsumed. An answer that is kept for repeated queries is not kept as an empty one.

Evidence: five rows of http_session.feature and a scenario of runs.feature fail on the code before; of a response with a consumed body, the code before wrote the head and then the next response.

--- a/foxtailproxy/http/body.py
+++ b/foxtailproxy/http/body.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, fail, succeed
+
+from foxtailproxy.http.errors import BodyConsumed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,9 +46,10 @@
 class BodyStream:
     """Bytes of one body, with back-pressure.
 
-    Bytes are buffered until a sink is attached. `length` is the declared size in bytes, or `None`,
-    and `size` the number of bytes received so far. `on_done` is called once, when the body is
-    complete or has failed.
+    Bytes are buffered until a sink is attached. A body has one sink: for a further one, or for who
+    waits for the buffer, it fails with `BodyConsumed`. `length` is the declared size in bytes, or
+    `None`, and `size` the number of bytes received so far. `on_done` is called once, when the body
+    is complete or has failed.
     """
 
     __slots__ = (
@@ -144,10 +147,10 @@
 
         Fails with the body's `HttpError` where the body fails first.
         """
+        if self._sink is not None:
+            return fail(BodyConsumed())
         if self.error is not None:
-            failed: Deferred[bool] = Deferred()
-            failed.errback(self.error)
-            return failed
+            return fail(self.error)
         if self.ended:
             return succeed(self.buffered_bytes <= limit)
         if self.buffered_bytes > limit or (self.length is not None and self.length > limit):
@@ -174,6 +177,9 @@
 
     def attach(self, sink: BodySink) -> None:
         """Pass the buffered bytes, and all that follow, to `sink`."""
+        if self._sink is not None:
+            sink.body_failed(BodyConsumed())
+            return
         self._sink = sink
         buffered, self._buffer = self.buffered(), b""
         if buffered:
--- a/foxtailproxy/http/errors.py
+++ b/foxtailproxy/http/errors.py
@@ -35,6 +35,10 @@
     """Body that ended before it was complete."""
 
 
+class BodyConsumed(HttpError):
+    """Body of which something else has read at least the beginning."""
+
+
 class BodyTooLarge(HttpError):
     """Body that exceeds the size limit."""
 
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -8,7 +8,13 @@
 
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
-from foxtailproxy.http.errors import BodyTooLarge, ConnectionLost, HttpError
+from foxtailproxy.http.errors import (
+    BodyConsumed,
+    BodyTooLarge,
+    BodyTruncated,
+    ConnectionLost,
+    HttpError,
+)
 from foxtailproxy.http.memory import EXCHANGE_BYTES, head_bytes
 
 if TYPE_CHECKING:
@@ -103,19 +109,20 @@
 
     def _send(self, head: messages.ResponseHead, body: BodyStream) -> None:
         self.response_started = True
-        self._response_body = body
-        framing = self._framing_headers(head, body)
         if body.attached:
             log.error(
-                "response_body_taken",
+                "response_body_consumed",
                 status=head.status,
-                declared=self._remaining_bytes,
                 received=body.size,
                 held=body.buffered_bytes,
                 earlier_responses=self._connection.response_count,
             )
+            self.body_failed(BodyConsumed())
+            return
+        self._response_body = body
+        framing = self._framing_headers(head, body)
         wire_head = messages.format_response(head, framing)
-        if body.ended and self._has_body and body.size == self._remaining_bytes:
+        if body.ended and self._has_body and body.buffered_bytes == self._remaining_bytes:
             # A single write, so that the client reads head and body at once.
             self._connection.write(wire_head + body.buffered())
             self._finish()
@@ -165,7 +172,7 @@
         if self.aborted or self.response_finished:
             return
         if self._has_body and self._remaining_bytes:
-            self.abort()
+            self.body_failed(BodyTruncated())
             return
         if self._chunked:
             self._connection.write(messages.LAST_CHUNK)
@@ -180,8 +187,9 @@
 
     def body_failed(self, error: HttpError) -> None:
         """Abort the connection, so that the client can tell that the response is incomplete."""
-        if self.on_response_failed is not None and not self.aborted:
-            self.on_response_failed(error)
+        on_response_failed, self.on_response_failed = self.on_response_failed, None
+        if on_response_failed is not None and not self.aborted:
+            on_response_failed(error)
         self.abort()
 
     def reject(self, status: int, reason: str) -> None:
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -128,3 +128,16 @@
       | the end of a long body     | a head of a body   | a body of 600 bytes             | 200 200     |
       | a request with a long body | nothing            | a request with 600 bytes        | 200 200     |
       | fourteen requests          | nothing            | fourteen requests               | 200 200 200 200 200 200 200 200 200 200 200 200 200 200 200 |
+
+  # Guards against the next response being taken for the end of one that is not as long as declared (issue 43).
+  Scenario Outline: A response whose body is <fault> ends the connection
+    Given a client that sends two requests, the first answered with a body that is <fault>
+    Then the first response is cut, and nothing follows it
+
+    Examples:
+      | fault                                           |
+      | already read                                    |
+      | already read, without a length                  |
+      | already read and still arriving                 |
+      | already read, without a length, still arriving  |
+      | shorter than declared                           |
--- a/foxtailproxy/tests/runs.feature
+++ b/foxtailproxy/tests/runs.feature
@@ -27,6 +27,11 @@
       | 130000 | answer  |
       | 230000 | nothing |
 
+  Scenario: An answer whose body something else has read is not kept as an empty one
+    Given a table of runs
+    When a run ends with an answer whose body something else has read
+    Then a query for the first run returns unknown answer-cut
+
   Scenario: A sealed run never starts
     Given a table of runs
     When a run is sealed and then opened
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -8,7 +8,8 @@
 
 from behave import given, then, when
 
-from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http import messages
+from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.exchange import ServerExchange
 from foxtailproxy.http.messages import ResponseHead
 from foxtailproxy.http.server import PIPELINE_LIMIT, ServerFactory, ServerLimits
@@ -278,3 +279,49 @@
     advance(context.clock, 50)
     context.connection.dataReceived(head[20:])
     advance(context.clock, 50)
+
+
+def _body_of_four_bytes(fault: str) -> BodyStream:
+    """Return a body that declares four bytes, or none where it has no length."""
+    body = BodyStream(None if "without a length" in fault else 4)
+    if "longer" in fault:
+        body.feed(b"body, and more")
+    elif "shorter" in fault:
+        body.feed(b"bo")
+    else:
+        body.feed(b"body")
+    if "still arriving" not in fault:
+        body.end()
+    if "already read" in fault:
+        body.attach(DiscardSink())
+    return body
+
+
+@given("a client that sends two requests, the first answered with a body that is {fault}")
+def step_two_requests(context: Any, fault: str) -> None:
+    context.clock = fake_clock()
+    context.failures = []
+    body = _body_of_four_bytes(fault)
+
+    async def handle(exchange: ServerExchange) -> None:
+        is_first = exchange.head.target == b"/first"
+        exchange.on_response_failed = context.failures.append
+        second = BodyStream.from_bytes(b"second")
+        exchange.respond(ResponseHead(200, b"OK"), body if is_first else second)
+
+    _open_connection(context, handle)
+    for target in (b"/first", b"/second"):
+        context.connection.dataReceived(b"GET %s HTTP/1.1\r\n%s\r\n" % (target, HOST_HEADER))
+    if "still arriving" in fault:
+        body.feed(b", and its end")
+        body.end()
+    advance(context.clock, 5)
+
+
+@then("the first response is cut, and nothing follows it")
+def step_cut_and_nothing_follows(context: Any) -> None:
+    received = context.transport.value()
+    assert context.transport.close_kind == "cut", context.transport.close_kind
+    assert b"second" not in received and b"more" not in received, received
+    assert not received.endswith((b"body", messages.LAST_CHUNK)), received
+    assert len(context.failures) == 1, context.failures
--- a/foxtailproxy/tests/steps/runs.py
+++ b/foxtailproxy/tests/steps/runs.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from twisted.internet.defer import ensureDeferred
 
+from foxtailproxy.http.body import DiscardSink
 from foxtailproxy.outcome import Outcome
 from foxtailproxy.runs import RunTable, SharedRun
 from foxtailproxy.tests.fakes import advance, fake_clock, make_answer
@@ -108,3 +109,11 @@
 def step_each_gets_answer(context: Any) -> None:
     bodies = [outcome.ok.body.buffered() for outcome in context.outcome_by_callback.values()]
     assert bodies == [b"whole"] * 3, bodies
+
+
+@when("a run ends with an answer whose body something else has read")
+def step_complete_with_consumed_body(context: Any) -> None:
+    outcome = make_answer(b"x" * 100)
+    outcome.ok.body.attach(DiscardSink())
+    run = context.run_table.open("first", context.clock.now_ms() + DEADLINE_MS)
+    ensureDeferred(run.complete(outcome, REPLAY_BYTES))
