Write no more of a response's body than its head declares

No path to it is known: each body with a length comes from a parser that ends it there. The connection was cut at the end of such a body, but only after the bytes had been written; it is cut before them now.

--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -164,6 +164,10 @@
         if self.aborted or not self._has_body or not data:
             return
         if self._remaining_bytes is not None:
+            if len(data) > self._remaining_bytes:
+                # The rest would be taken for the beginning of the next response.
+                self.body_failed(BodyTooLarge())
+                return
             self._remaining_bytes -= len(data)
         self._connection.write(messages.format_chunk(data) if self._chunked else data)
 
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -140,4 +140,6 @@
       | already read, without a length                  |
       | already read and still arriving                 |
       | already read, without a length, still arriving  |
+      | longer than declared                            |
+      | longer than declared and still arriving         |
       | shorter than declared                           |
