--- a/foxtailproxy/tests/memory_network.py
+++ b/foxtailproxy/tests/memory_network.py
@@ -12,6 +12,8 @@
 
 LINK_DELAY_S = 0.0005
 
+ESTABLISHED = b"\x01"
+
 
 class FakeSocket:
     """Socket whose options have no effect."""
@@ -19,6 +21,10 @@
     def setsockopt(self, *_: Any) -> None:
         """Ignore the option."""
 
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return the kernel's state of an open connection on which bytes have just arrived."""
+        return ESTABLISHED + bytes(size - 1)
+
 
 class SocketTransport(RecordingTransport):
     """In-memory transport with a socket, whose options have no effect."""
