--- a/foxtailproxy/dispatch.py
+++ b/foxtailproxy/dispatch.py
@@ -130,10 +130,14 @@
         if outcome.is_error():
             if isinstance(outcome.error, Unknown):
                 self.unknown_failure = outcome.error
-        elif outcome.ok.body.ended:
+        elif not settles_call(outcome):
+            self._record_error_answer(outcome)
+
+    def _record_error_answer(self, outcome: Outcome) -> None:
+        if outcome.ok.body.ended:
             self.error_answer = outcome
         else:
-            # Only the current send's outcome can deliver an answer that is still arriving.
+            # The rest of an answer that is still arriving is not kept for later.
             self.unknown_failure = Unknown(UnknownReason.ANSWER_CUT)
 
     def final_outcome(self, outcome: Outcome) -> Outcome:
@@ -162,12 +166,12 @@
 
     def _on_outcome(self, outcome: Outcome) -> None:
         self._open_count -= 1
-        if not self.settled and (is_success(outcome) or not self._open_count):
+        if not self.settled and (settles_call(outcome) or not self._open_count):
             self.settled = True
             self.result.callback(outcome)
         elif outcome.is_ok() and not outcome.ok.body.ended:
-            # A target's slot is held until its answer has been read. One that has ended holds none,
-            # and may become the call's outcome.
+            # An answer that is still arriving holds a slot of its target until it has been read. A
+            # complete one does not, and the call may still end with it.
             outcome.ok.body.attach(DiscardSink())
 
     def _on_failure(self, failure: Any) -> None:
@@ -382,7 +386,7 @@
     ) -> Outcome:
         outcome = await self._send(choice, send)
         progress.record_end(target_id_of(choice), outcome)
-        if self._log_calls and not is_success(outcome):
+        if self._log_calls and not settles_call(outcome):
             events.send_failed(send, choice, outcome, send.remaining_ms(self._clock))
         if outcome.is_error() and isinstance(outcome.error, Unknown) and outcome.error.crashed:
             node_id = target_id_of(choice) or self._router.node_id
@@ -433,8 +437,8 @@
     return call.rule.idempotent and failure.reason is not UnknownReason.DEADLINE
 
 
-def is_success(outcome: Outcome) -> bool:
-    """Return whether a target answered without a server error."""
+def settles_call(outcome: Outcome) -> bool:
+    """Return whether a call ends with an outcome, that is an answer other than a server error."""
     return outcome.is_ok() and outcome.ok.head.status < SERVER_ERROR
 
 
--- a/foxtailproxy/http/body.py
+++ b/foxtailproxy/http/body.py
@@ -46,8 +46,8 @@
 class BodyStream:
     """Bytes of one body, with back-pressure.
 
-    Bytes are buffered until a sink is attached. A body has one sink: for a further one, or for who
-    waits for the buffer, it fails with `BodyConsumed`. `length` is the declared size in bytes, or
+    Bytes are buffered until a sink is attached. A body has one sink: a further one, or a later
+    call of `buffer`, gets a failure with `BodyConsumed`. `length` is the declared size in bytes, or
     `None`, and `size` the number of bytes received so far. `on_done` is called once, when the body
     is complete or has failed.
     """
--- a/foxtailproxy/http/errors.py
+++ b/foxtailproxy/http/errors.py
@@ -35,6 +35,10 @@
     """Body that ended before it was complete."""
 
 
+class BodyOverrun(HttpError):
+    """Body with more bytes than its head declares."""
+
+
 class BodyConsumed(HttpError):
     """Body of which something else has read at least the beginning."""
 
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -10,6 +10,7 @@
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import (
     BodyConsumed,
+    BodyOverrun,
     BodyTooLarge,
     BodyTruncated,
     ConnectionLost,
@@ -166,7 +167,7 @@
         if self._remaining_bytes is not None:
             if len(data) > self._remaining_bytes:
                 # The rest would be taken for the beginning of the next response.
-                self.body_failed(BodyTooLarge())
+                self.body_failed(BodyOverrun())
                 return
             self._remaining_bytes -= len(data)
         self._connection.write(messages.format_chunk(data) if self._chunked else data)
@@ -218,6 +219,7 @@
 
     def abort(self) -> None:
         """Abort the connection."""
+        self.aborted = True
         self._connection.abort()
 
     def pause_response(self) -> None:
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -136,9 +136,9 @@
 def holds_another_head(head: ResponseHead, response_id: Callable[[HeaderList], str | None]) -> bool:
     """Return whether a head was cut in its status line or a header, and another one continues it.
 
-    A header may quote a status line, but not directly behind a word, not one of an interim response,
-    and not before the header that `response_id` takes for that of the response: all that follows
-    may be a head of its own.
+    A header may quote a status line, but not directly behind a word, not that of an interim
+    response, and not before the header from which `response_id` tells whose response it is: what
+    follows may be a head of its own.
     """
     if START in head.reason:
         return True
--- a/foxtailproxy/tests/dispatch.feature
+++ b/foxtailproxy/tests/dispatch.feature
@@ -40,7 +40,7 @@
       | overloaded       |
       | upstream-lost    |
 
-  Scenario: An error answer that loses the start of its body to a hedged send is not delivered
+  Scenario: An error answer that is discarded while it arrives is not delivered after the call's other send fails
     Given targets a:270ms500large b:200ms-faster-elsewhere
     When a call that may run again is dispatched with 2 attempts
     Then it ends as unknown answer-cut after 460 ms
