Close the connection behind the rejection of a HEAD request with a body

A client that sent HEAD with a body of chunks beyond the limit read 413, and its connection was neither closed nor used any more; its node counted as busy with it, so that a stop waited for it.

Cause: a response without a body was finished at the end of its body stream, and a rejected exchange takes nothing from a body stream any more. A response without a body ends with its head now, if its body has ended.

--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -123,7 +123,11 @@
         self._response_body = body
         framing = self._framing_headers(head, body)
         wire_head = messages.format_response(head, framing)
-        if body.ended and self._has_body and body.buffered_bytes == self._remaining_bytes:
+        if body.ended and not self._has_body:
+            self._connection.write(wire_head)
+            self._finish()
+            return
+        if body.ended and body.buffered_bytes == self._remaining_bytes:
             # A single write, so that the client reads head and body at once.
             self._connection.write(wire_head + body.buffered())
             self._finish()
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -143,3 +143,13 @@
       | longer than declared                            |
       | longer than declared and still arriving         |
       | shorter than declared                           |
+
+  # Guards against a connection that is never closed, and keeps its node from stopping.
+  Scenario Outline: A <method> request whose body is too large is rejected, and the connection closed
+    Given a client that sends a <method> request whose body of chunks is too large
+    Then the client reads one response with status 413, and the end of the connection
+
+    Examples:
+      | method |
+      | PUT    |
+      | HEAD   |
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -325,3 +325,23 @@
     assert b"second" not in received and b"more" not in received, received
     assert not received.endswith((b"body", messages.LAST_CHUNK)), received
     assert len(context.failures) == 1, context.failures
+
+
+@given("a client that sends a {method} request whose body of chunks is too large")
+def step_too_large(context: Any, method: str) -> None:
+    context.clock = fake_clock()
+
+    async def handle(exchange: ServerExchange) -> None:
+        """Wait for a body that does not come."""
+
+    _open_connection(context, handle)
+    request = INVALID_REQUESTS["a body of chunks that is too large"]
+    context.connection.dataReceived(request.replace(b"PUT", method.encode()))
+    advance(context.clock, 5)
+
+
+@then("the client reads one response with status 413, and the end of the connection")
+def step_closed_behind_rejection(context: Any) -> None:
+    received = context.transport.value()
+    assert received.count(b"HTTP/1.1 413 ") == 1, received
+    assert context.transport.close_kind == "closed" and not context.connection.busy, received
