--- a/foxtailproxy/caller_server.py
+++ b/foxtailproxy/caller_server.py
@@ -86,7 +86,7 @@
         self._responded = True
         if outcome.is_ok():
             self._answer_body = outcome.ok.body
-        self._server.record_outcome(self.call, outcome, self._started_ms)
+        self._server.record_outcome(self._exchange, self.call, outcome, self._started_ms)
         self._server.respond(self._exchange, self.call, outcome)
 
     def _deadline_near(self) -> None:
@@ -213,7 +213,9 @@
             messages.ResponseHead(answer.head.status, answer.head.reason, headers), answer.body
         )
 
-    def record_outcome(self, call: Call, outcome: Outcome, started_ms: float) -> None:
+    def record_outcome(
+        self, exchange: ServerExchange, call: Call, outcome: Outcome, started_ms: float
+    ) -> None:
         """Record a call that has ended in the metrics and the log."""
         elapsed_ms = self.clock.now_ms() - started_ms
         outcome_label = events.outcome_label(outcome)
@@ -221,6 +223,7 @@
         if self._log_calls:
             rule_book = self._config_sync.rule_book
             events.call_ended(
+                exchange,
                 call,
                 outcome,
                 elapsed_ms,
--- a/foxtailproxy/events.py
+++ b/foxtailproxy/events.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from foxtailproxy.call import Call
     from foxtailproxy.http.client import ExchangeTrace
+    from foxtailproxy.http.exchange import ServerExchange
     from foxtailproxy.routing import Choice
 
 log = structlog.get_logger()
@@ -35,6 +36,7 @@
 
 
 def call_ended(
+    exchange: ServerExchange,
     call: Call,
     outcome: Outcome,
     elapsed_ms: float,
@@ -58,6 +60,8 @@
         sends=call.send_number + 1 if choice is not None else 0,
         answer_bytes=outcome.ok.body.size if outcome.is_ok() else -1,
         answer_ended=outcome.is_ok() and outcome.ok.body.ended,
+        client_port=exchange.client_port,
+        request_number=exchange.number,
         **({"customer": customer} if customer else {}),
         **_choice_fields(choice),
     )
--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -291,6 +291,7 @@
         """Parse data from the server."""
         if not self.busy:
             # Unsolicited bytes could be mistaken for the response to the next request.
+            self._log_unsolicited_bytes()
             self.abort()
             return
         if self.on_data_received is not None:
@@ -300,17 +301,29 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if not self._message_complete:
+            if self._message_complete:
+                self._log_unsolicited_bytes()
+            else:
                 self._fail(_http_error(error))
             self.abort()
             return
         finally:
             self._read = b""
         if self._message_complete:
+            if self._unexpected_response and not self.trace.skipped_responses:
+                self._log_unsolicited_bytes()
             self._exchange_done()
         elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self.fail(MalformedResponse())
 
+    def _log_unsolicited_bytes(self) -> None:
+        """Log bytes behind the response to the latest request."""
+        log.warning(
+            "unsolicited_bytes",
+            attempt="" if self._matcher is None else self._matcher.request_id,
+            earlier_exchanges=self.trace.earlier_exchanges,
+        )
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Fail or complete the exchange in progress."""
         self.closed = True
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -33,11 +33,13 @@
 class ServerExchange:
     """Request of a client and the response to it.
 
-    `unread_ms` is the time for which the request waited for this process to read it.
+    `number` counts the requests of the connection from 0, `unread_ms` is the time for which this
+    one waited for the process to read it.
     """
 
     def __init__(self, connection: ServerConnection, head: messages.RequestHead) -> None:
         self.head = head
+        self.number = 0
         self.unread_ms = 0
         self.body = BodyStream(None, connection)
         self.keep_alive = True
@@ -66,6 +68,11 @@
             held += self._queued_response[1].buffered_bytes
         return held
 
+    @property
+    def client_port(self) -> int:
+        """Port of the client's end of the connection; it tells its connections apart."""
+        return self._connection.client_port
+
     @property
     def client_left(self) -> bool:
         """Whether the client has closed the connection, also if that is still to be read.
@@ -116,7 +123,8 @@
                 status=head.status,
                 received=body.size,
                 held=body.buffered_bytes,
-                earlier_responses=self._connection.response_count,
+                client_port=self.client_port,
+                request_number=self.number,
             )
             self.body_failed(BodyConsumed())
             return
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -81,9 +81,9 @@
 
     Responses are sent in the order of the requests, also the one that rejects an invalid request. A
     pipelined request for which `may_overlap` is true is served concurrently with the earlier ones,
-    if all of those are being served. `response_count` counts the responses sent. With `bounds`, the
-    connection counts for the bounds of all clients, which may close it, and a body must progress
-    within the idle time.
+    if all of those are being served. `request_count` counts the requests whose head was
+    complete. With `bounds`, the connection counts for the bounds of all clients, which may close
+    it, and a body must progress within the idle time.
     """
 
     transport: Any = None
@@ -97,7 +97,8 @@
         bounds: ClientBounds | None = None,
     ) -> None:
         self.closing = False
-        self.response_count = 0
+        self.client_port = 0
+        self.request_count = 0
         self._bounds = bounds
         self._reading = False
         self._body_progressed = False
@@ -127,6 +128,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and start the header timeout."""
+        self.client_port = self.transport.getPeer().port
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._start_timer(self.limits.header_time_ms)
@@ -294,6 +296,8 @@
         length = self._check_head(head)
         self._headers, self._url = [], b""
         exchange = ServerExchange(self, head)
+        exchange.number = self.request_count
+        self.request_count += 1
         if exchange.held_bytes > self.limits.request_memory_bytes:
             raise RequestRejected(431, "header-too-large")
         exchange.unread_ms = ms_since_last_arrival(self.transport)
@@ -441,7 +445,6 @@
 
     def exchange_finished(self, exchange: ServerExchange) -> None:
         """Serve the next request, wait for one, or close the connection."""
-        self.response_count += 1
         if self._exchanges and self._exchanges[0] is exchange:
             self._exchanges.popleft()
         if self._bounds is not None and not self._exchanges:
--- a/foxtailproxy/tests/answer_ends.feature
+++ b/foxtailproxy/tests/answer_ends.feature
@@ -242,6 +242,19 @@
       | with a length |
       | in chunks     |
 
+  # Guards against bytes that belong to no response, and of which the log tells nothing.
+  Scenario Outline: Bytes behind an answer <when> are logged with its attempt
+    Given a connection that has carried an earlier answer
+    When <bytes> follows that answer <when>
+    Then the log names attempt 1, and no further request is sent there
+
+    Examples:
+      | bytes                | when                      |
+      | a copy of it         | after it                  |
+      | the tail of a copy   | after it                  |
+      | a copy of it         | in the read of the answer |
+      | the tail of a copy   | in the read of the answer |
+
   # Guards against a node that stands still while it searches a body.
   Scenario Outline: The search of a body of 10 KiB of <what> takes less than 50 ms
     When 10 KiB of <what> are searched for heads <count> bytes at a time
--- a/foxtailproxy/tests/steps/answer_ends.py
+++ b/foxtailproxy/tests/steps/answer_ends.py
@@ -965,3 +965,25 @@
     context.read_s = time.monotonic() - started_s
     context.server.join()
     context.listener.close()
+
+
+@when("{what} follows that answer {when_}")
+def step_bytes_behind_answer(context: Any, what: str, when_: str) -> None:
+    copy = HEAD % b"1" + b"Content-Length: 2\r\n\r\nok"
+    behind = copy if what == "a copy of it" else copy[40:]
+    connection = context.connection
+    with captured_log() as context.log:
+        if when_ == "in the read of the answer":
+            context.connection = connection = ClientConnection()
+            connection.makeConnection(ClientTransport())
+            _exchange(connection, "1")
+            connection.dataReceived(copy + behind)
+        else:
+            connection.dataReceived(behind)
+
+
+@then("the log names attempt {attempt}, and no further request is sent there")
+def step_unsolicited_logged(context: Any, attempt: str) -> None:
+    assert context.connection.closed
+    lines = [line for line in context.log if line["event"] == "unsolicited_bytes"]
+    assert [line["attempt"] for line in lines] == [attempt], context.log
