Send no request whose body cannot fill the length that its head declares

Cause: the connection declared the length of a body and wrote what the body still held. Of a body that something else had read it wrote the head alone, or in chunks an empty body that looked complete. Such a body, one of another size and one that has failed now fail the exchange before anything is written. While a body is streamed, no byte beyond its length is written, and one that ends short cuts the connection. An empty part is no longer written as the last chunk.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -17,6 +17,8 @@
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import (
+    BodyConsumed,
+    BodyTooLarge,
     BodyTruncated,
     ConnectionLost,
     ExchangeCancelled,
@@ -146,7 +148,7 @@
         self._response_body: BodyStream | None = None
         self._is_head_request = False
         self._request_sent = True
-        self._request_chunked = False
+        self._remaining_request_bytes: int | None = None
         self._reading_paused = False
         self._watch: ServerWatch | None = None
         self._was_lost = False
@@ -186,8 +188,8 @@
         """Send a request.
 
         Responses that `matcher` does not accept are late responses to earlier requests: they are
-        skipped, and the connection is not reused. Fails with an `HttpError`. Cancelling the
-        deferred aborts the connection.
+        skipped, and the connection is not reused. Fails with an `HttpError`; nothing is sent if
+        `body` cannot fill the request any more. Cancelling the deferred aborts the connection.
         """
         self.trace = ExchangeTrace(earlier_exchanges=self.exchange_count)
         self.exchange_count += 1
@@ -202,8 +204,12 @@
             self._fail(ConnectionLost())
             return deferred
         self._reset_parser()
+        body_error = _body_error(body)
+        if body_error is not None:
+            self.fail(body_error)
+            return deferred
         length = body.length
-        self._request_chunked = length is None
+        self._remaining_request_bytes = length
         self._request_sent = False
         self._request_body = body
         buffered_body = body.buffered() if body.ended and length is not None else None
@@ -224,13 +230,26 @@
     # Request body
 
     def body_data(self, data: bytes) -> None:
-        """Send the next bytes of the request body."""
-        if not self.closed:
-            self._write(messages.format_chunk(data) if self._request_chunked else data)
+        """Send the next bytes of the request body; fail where it is longer than declared."""
+        if self.closed or not data:
+            return
+        if self._remaining_request_bytes is None:
+            self._write(messages.format_chunk(data))
+        elif len(data) > self._remaining_request_bytes:
+            self.fail(BodyTooLarge())
+        else:
+            self._remaining_request_bytes -= len(data)
+            self._write(data)
 
     def body_end(self) -> None:
-        """Finish sending the request body."""
-        if not self.closed and self._request_chunked:
+        """Finish sending the request body; fail where it is shorter than declared."""
+        if self.closed:
+            return
+        if self._remaining_request_bytes:
+            # The server would take the next request for the rest of this one.
+            self.fail(BodyTruncated())
+            return
+        if self._remaining_request_bytes is None:
             self._write(messages.LAST_CHUNK)
         self._request_sent = True
 
@@ -598,6 +617,19 @@
             self.transport.abortConnection()
 
 
+def _body_error(body: BodyStream) -> HttpError | None:
+    """Return why a body cannot be sent as it was declared; `None` if it can be so far."""
+    if body.attached:
+        return BodyConsumed()
+    if body.error is not None:
+        return BodyTruncated()
+    if body.length is None:
+        return None
+    if body.buffered_bytes > body.length:
+        return BodyTooLarge()
+    return BodyTruncated() if body.ended and body.buffered_bytes < body.length else None
+
+
 def _http_error(error: Exception) -> HttpError:
     """Return the error of an exchange whose response the parser rejects."""
     if isinstance(error.__context__, HttpError):
--- a/foxtailproxy/tests/client_connection.feature
+++ b/foxtailproxy/tests/client_connection.feature
@@ -40,3 +40,49 @@
       | no length | tells       | aborted    |
       | a length  | never tells | used again |
       | no length | never tells | used again |
+
+  # Guards against a request whose length is not backed by its body: the server takes the next request on the connection for the rest of it.
+  Scenario Outline: A request <framing> whose body <fault> is not sent
+    Given a connection that is kept open
+    When a request <framing> is made whose body <fault>
+    Then the exchange fails as <error>, and nothing was sent
+    And the connection is aborted
+
+    Examples:
+      | framing       | fault                               | error         |
+      | with a length | has ended, 2 bytes short            | BodyTruncated |
+      | with a length | has ended, 2 bytes over             | BodyTooLarge  |
+      | with a length | has 2 bytes too many so far         | BodyTooLarge  |
+      | with a length | has ended and was read elsewhere    | BodyConsumed  |
+      | in chunks     | has ended and was read elsewhere    | BodyConsumed  |
+      | with a length | is being read elsewhere             | BodyConsumed  |
+      | in chunks     | is being read elsewhere             | BodyConsumed  |
+      | with a length | has failed                          | BodyTruncated |
+      | in chunks     | has failed                          | BodyTruncated |
+
+  Scenario Outline: A request <framing> whose body <fault> while it is sent
+    Given a connection that is kept open
+    When a request <framing> is made whose body <fault>
+    Then the exchange fails as <error>, and <sent> was sent
+    And the connection is aborted
+
+    Examples:
+      | framing       | fault               | error          | sent                                             |
+      | with a length | ends 2 bytes short  | BodyTruncated  | content-length: 4\r\n\r\nab                      |
+      | with a length | goes on for 2 bytes | BodyTooLarge   | content-length: 4\r\n\r\nabcd                    |
+      | with a length | fails               | ConnectionLost | content-length: 4\r\n\r\nab                      |
+      | in chunks     | fails               | ConnectionLost | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n    |
+
+  Scenario Outline: A request <framing> whose body <event> is sent whole
+    Given a connection that is kept open
+    When a request <framing> is made whose body <event>
+    Then the exchange is answered, and <sent> was sent
+    And the connection is used again
+
+    Examples:
+      | framing       | event                | sent                                                                         |
+      | with a length | has ended            | content-length: 4\r\n\r\nabcd                                                |
+      | in chunks     | has ended            | transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n                     |
+      | with a length | arrives in two parts | content-length: 4\r\n\r\nabcd                                                |
+      | in chunks     | arrives in two parts | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n            |
+      | in chunks     | has an empty part    | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n            |
--- a/foxtailproxy/tests/steps/client_connection.py
+++ b/foxtailproxy/tests/steps/client_connection.py
@@ -12,11 +12,13 @@
 from behave import given, then, when
 from twisted.internet import reactor, threads
 from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
-from foxtailproxy.http.body import BodyStream
+from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.client import ClientConnection, ResponseMatcher
-from foxtailproxy.http.errors import HttpError
+from foxtailproxy.http.errors import BodyTruncated, HttpError
 from foxtailproxy.http.messages import HeaderList, RequestHead, ResponseHead
 from foxtailproxy.http.pool import ConnectionPool
 from foxtailproxy.tests.http_sessions import RecordingTransport
@@ -28,6 +30,11 @@
     "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
     "no length": b"HTTP/1.1 200 OK\r\n\r\n",
 }
+END = "end"
+FAILURE = "failure"
+READ_ELSEWHERE = "read elsewhere"
+"""What may happen to a body besides bytes."""
+
 RESET_AFTER_S = 0.05
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -193,3 +200,82 @@
 def step_connection_state(context: Any, state: str) -> None:
     assert bool(context.idle) == (state == "used again"), context.idle
     assert (context.connection.transport.close_kind == "cut") == (state == "aborted")
+
+
+REQUEST_LENGTH = 4
+
+PARTS_BEFORE_BY_FAULT = {
+    "has ended, 2 bytes short": [b"ab", END],
+    "has ended, 2 bytes over": [b"abcdef", END],
+    "has 2 bytes too many so far": [b"abcdef"],
+    "has ended and was read elsewhere": [b"abcd", END, READ_ELSEWHERE],
+    "is being read elsewhere": [b"ab", READ_ELSEWHERE],
+    "has failed": [b"ab", FAILURE],
+    "has ended": [b"abcd", END],
+}
+"""What happens to the body of a request before it is sent, by its fault."""
+
+PARTS_AFTER_BY_FAULT = {
+    "ends 2 bytes short": [b"ab", END],
+    "goes on for 2 bytes": [b"abcd", b"ef", END],
+    "fails": [b"ab", FAILURE],
+    "arrives in two parts": [b"ab", b"cd", END],
+    "has an empty part": [b"ab", b"", b"cd", END],
+}
+"""The same after the head of the request was sent."""
+
+
+def _apply(body: BodyStream, part: bytes | str) -> None:
+    if isinstance(part, bytes):
+        body.feed(part)
+    elif part == END:
+        body.end()
+    elif part == FAILURE:
+        body.fail(BodyTruncated())
+    else:
+        body.attach(DiscardSink())
+
+
+@given("a connection that is kept open")
+def step_kept_connection(context: Any) -> None:
+    context.connection = _open_connection(b"GET")
+    context.idle = []
+    context.connection.on_idle = context.idle.append
+    context.connection.dataReceived(RESPONSE)
+    assert context.idle.pop() is context.connection
+    context.connection.transport.clear()
+
+
+@when("a request {framing} is made whose body {fault}")
+def step_request_with_body(context: Any, framing: str, fault: str) -> None:
+    body = BodyStream(REQUEST_LENGTH if framing == "with a length" else None)
+    for part in PARTS_BEFORE_BY_FAULT.get(fault, []):
+        _apply(body, part)
+    context.results = []
+    exchange = context.connection.request(RequestHead(b"PUT", b"/", []), body)
+    exchange.addBoth(context.results.append)
+    for part in PARTS_AFTER_BY_FAULT.get(fault, []):
+        _apply(body, part)
+    if context.connection.transport.close_kind:
+        context.connection.connectionLost(Failure(ConnectionAborted()))
+    else:
+        context.connection.dataReceived(RESPONSE)
+
+
+def _sent_after_request_line(context: Any) -> str:
+    sent: bytes = context.connection.transport.value()
+    return sent.removeprefix(b"PUT / HTTP/1.1\r\n").decode().encode("unicode_escape").decode()
+
+
+@then("the exchange fails as {error}, and {sent} was sent")
+def step_exchange_failed(context: Any, error: str, sent: str) -> None:
+    results = [type(getattr(result, "value", None)).__name__ for result in context.results]
+    actual = (results, _sent_after_request_line(context) or "nothing")
+    assert actual == ([error], sent), actual
+
+
+@then("the exchange is answered, and {sent} was sent")
+def step_exchange_answered(context: Any, sent: str) -> None:
+    statuses = [result.head.status for result in context.results]
+    actual = (statuses, _sent_after_request_line(context))
+    assert actual == ([200], sent), actual
