Refuse a heartbeat whose target id would split the head of a request

The node sent each call to that target with the id in x-foxtailproxy-expect-instance, so that the target read two requests on the connection where the node had sent one. A connection that is used again then carries the answer to the second one, and an error that names no attempt is taken for that to the next call.

Cause: the id is decoded from the path and went into the heads of requests as it was. All other headers that are passed on come from a parser that allows no line break, or from fields with a pattern. An id that is not printable is malformed now, as the other bytes that cannot be read.

Evidence: four of the six new rows of platform.feature fail on the code before and pass now.

--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -76,6 +76,9 @@
 
 def decode_heartbeat(instance: str, body: bytes) -> Announcement:
     """Return the announcement in a heartbeat of process `instance`. Raises `HeartbeatError`."""
+    if not instance.isprintable():
+        # The id is sent in the heads of requests, which a line break would split.
+        raise HeartbeatError(f"heartbeat of instance {instance!r}, which is not printable")
     try:
         heartbeat = msgspec.json.decode(body, type=Heartbeat)
         host, _, port = heartbeat.address.rpartition(":")
@@ -109,7 +112,7 @@
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Handle one request: `PUT` for a heartbeat, `DELETE` for a leave notice."""
-        instance = _instance_from_path(exchange.head.target)
+        instance = instance_from_path(exchange.head.target)
         try:
             is_complete = await exchange.body.buffer(MAX_HEARTBEAT_BYTES)
         except HttpError as error:
@@ -157,7 +160,7 @@
         _respond(exchange, 200 if self._is_ready() else 503)
 
 
-def _instance_from_path(target: bytes) -> str:
+def instance_from_path(target: bytes) -> str:
     """Return the process id in a request's path, or an empty string."""
     path = target.partition(b"?")[0].decode("latin-1")
     if not path.startswith(INSTANCES_PATH):
--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -73,6 +73,20 @@
       | born as a fraction      | malformed         |
       | bytes that are no JSON  | malformed         |
 
+  # Guards against one request that its target reads as two: its head names the process that is to run it, as it was announced.
+  Scenario Outline: A heartbeat of a target whose id has <what>
+    When a heartbeat for the path <path> is decoded
+    Then the heartbeat decodes as <result>
+
+    Examples:
+      | what            | path                                  | result          |
+      | letters         | /instances/i-7f3a                     | an announcement |
+      | other alphabets | /instances/i-%C3%A4                   | an announcement |
+      | a line break    | /instances/i-1%0D%0Ax-other:%201      | malformed       |
+      | a second head   | /instances/i-1%0D%0A%0D%0AGET%20/days | malformed       |
+      | a line feed     | /instances/i-1%0Ax-other:%201         | malformed       |
+      | a null byte     | /instances/i-1%00                     | malformed       |
+
   # A heartbeat is not refused for its cold time: without it, the target would get no calls.
   Scenario Outline: A heartbeat and a health answer with the cold time <text>
     When a heartbeat and a health answer state the cold time <text>
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -16,7 +16,7 @@
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.platform.dialect import PlatformDialect
-from foxtailproxy.platform.instances import HeartbeatError, decode_heartbeat
+from foxtailproxy.platform.instances import HeartbeatError, decode_heartbeat, instance_from_path
 from foxtailproxy.target_policy import DeclinePolicy
 from foxtailproxy.tests.fakes import fake_clock, make_call
 from foxtailproxy.wire import (
@@ -155,6 +155,15 @@
         context.heartbeat_result = "malformed"
 
 
+@when("a heartbeat for the path {path} is decoded")
+def step_decode_heartbeat_of(context: Any, path: str) -> None:
+    try:
+        decode_heartbeat(instance_from_path(path.encode()), json.dumps(HEARTBEAT).encode())
+        context.heartbeat_result = "an announcement"
+    except HeartbeatError:
+        context.heartbeat_result = "malformed"
+
+
 @when("a heartbeat and a health answer state the cold time {text}")
 def step_cold_time(context: Any, text: str) -> None:
     heartbeat = json.dumps({name: HEARTBEAT[name] for name in HEARTBEAT if name != "cold_ms"})
