Write nothing of a request's body behind its end

A body that goes on after its end, in the same exchange or in a later one on the connection, had its bytes written behind the request, inside or in front of the next one. No path to it is known: a body has no bytes after its end. The connection is cut now instead, since its exchange has nothing left to write.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -215,6 +215,7 @@
         buffered_body = body.buffered() if body.ended and length is not None else None
         if buffered_body is not None:
             self._request_sent = True
+            self._remaining_request_bytes = 0
             self._write(messages.format_request(head, length) + buffered_body)
         else:
             self._write(messages.format_request(head, length))
@@ -251,6 +252,8 @@
             return
         if self._remaining_request_bytes is None:
             self._write(messages.LAST_CHUNK)
+        # Bytes that follow would be taken for the next request.
+        self._remaining_request_bytes = 0
         self._request_sent = True
 
     def body_failed(self, error: HttpError) -> None:
--- a/foxtailproxy/tests/client_connection.feature
+++ b/foxtailproxy/tests/client_connection.feature
@@ -67,11 +67,13 @@
     And the connection is aborted
 
     Examples:
-      | framing       | fault               | error          | sent                                             |
-      | with a length | ends 2 bytes short  | BodyTruncated  | content-length: 4\r\n\r\nab                      |
-      | with a length | goes on for 2 bytes | BodyTooLarge   | content-length: 4\r\n\r\nabcd                    |
-      | with a length | fails               | ConnectionLost | content-length: 4\r\n\r\nab                      |
-      | in chunks     | fails               | ConnectionLost | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n    |
+      | framing       | fault                 | error          | sent                                                           |
+      | with a length | ends 2 bytes short    | BodyTruncated  | content-length: 4\r\n\r\nab                                    |
+      | with a length | goes on for 2 bytes   | BodyTooLarge   | content-length: 4\r\n\r\nabcd                                  |
+      | with a length | goes on after its end | BodyTooLarge   | content-length: 4\r\n\r\nabcd                                  |
+      | in chunks     | goes on after its end | BodyTooLarge   | transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n       |
+      | with a length | fails                 | ConnectionLost | content-length: 4\r\n\r\nab                                    |
+      | in chunks     | fails                 | ConnectionLost | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n                  |
 
   Scenario Outline: A request <framing> whose body <event> is sent whole
     Given a connection that is kept open
@@ -86,3 +88,15 @@
       | with a length | arrives in two parts | content-length: 4\r\n\r\nabcd                                                |
       | in chunks     | arrives in two parts | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n            |
       | in chunks     | has an empty part    | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n            |
+
+  # Guards against bytes of one request inside the next one on its connection.
+  Scenario Outline: The body of an earlier request <framing> goes on while the next one is sent
+    Given a connection whose earlier request <framing> had a body that is still referred to
+    When the next request is sent, and the earlier body goes on
+    Then no byte of it is sent
+    And the connection is aborted
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
--- a/foxtailproxy/tests/steps/client_connection.py
+++ b/foxtailproxy/tests/steps/client_connection.py
@@ -218,6 +218,7 @@
 PARTS_AFTER_BY_FAULT = {
     "ends 2 bytes short": [b"ab", END],
     "goes on for 2 bytes": [b"abcd", b"ef", END],
+    "goes on after its end": [b"abcd", END, b"ef"],
     "fails": [b"ab", FAILURE],
     "arrives in two parts": [b"ab", b"cd", END],
     "has an empty part": [b"ab", b"", b"cd", END],
@@ -279,3 +280,30 @@
     statuses = [result.head.status for result in context.results]
     actual = (statuses, _sent_after_request_line(context))
     assert actual == ([200], sent), actual
+
+
+@given("a connection whose earlier request {framing} had a body that is still referred to")
+def step_earlier_request(context: Any, framing: str) -> None:
+    step_kept_connection(context)
+    context.earlier_body = BodyStream(REQUEST_LENGTH if framing == "with a length" else None)
+    context.connection.request(RequestHead(b"PUT", b"/", []), context.earlier_body)
+    context.earlier_body.feed(b"abcd")
+    context.earlier_body.end()
+    context.connection.dataReceived(RESPONSE)
+    assert context.idle.pop() is context.connection
+    context.connection.transport.clear()
+
+
+@when("the next request is sent, and the earlier body goes on")
+def step_earlier_body_goes_on(context: Any) -> None:
+    exchange = context.connection.request(
+        RequestHead(b"PUT", b"/", []), BodyStream.from_bytes(b"next")
+    )
+    exchange.addErrback(lambda failure: failure.trap(HttpError))
+    context.earlier_body.feed(b"more")
+
+
+@then("no byte of it is sent")
+def step_next_request_only(context: Any) -> None:
+    sent = _sent_after_request_line(context)
+    assert sent == "content-length: 4\\r\\n\\r\\nnext", sent
