Drop an exchange's callback for the end of its response with the exchange

A connection kept the callback that releases a call's slot at the end of a response without a length, and called it for a later exchange that set none, such as a health check. Nobody saw it: a slot that is free is not released again. It also kept the call, and its body, in memory until the connection was used again.

Evidence: the new scenario of client_connection.feature fails on the code before and passes now.

--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -594,7 +594,7 @@
         elif self.on_idle is not None:
             self.resume_body()
             self._request_body = None
-            self.on_interim = None
+            self.on_interim = self.on_response_read = None
             self.on_idle(self)
 
     def _fail(self, error: HttpError) -> None:
--- a/foxtailproxy/tests/client_connection.feature
+++ b/foxtailproxy/tests/client_connection.feature
@@ -100,3 +100,10 @@
       | framing       |
       | with a length |
       | in chunks     |
+
+  # Guards against a callback of one exchange that is called for the response of another.
+  Scenario: A connection whose exchange had a callback for the end of its response is closed after the next one
+    Given a connection that is kept open
+    And its earlier exchange had a callback for the end of its response
+    When the response to its next exchange has no length and ends with the connection
+    Then the callback of the earlier exchange was not called
--- a/foxtailproxy/tests/steps/client_connection.py
+++ b/foxtailproxy/tests/steps/client_connection.py
@@ -12,7 +12,7 @@
 from behave import given, then, when
 from twisted.internet import reactor, threads
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.error import ConnectionAborted
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
@@ -307,3 +307,29 @@
 def step_next_request_only(context: Any) -> None:
     sent = _sent_after_request_line(context)
     assert sent == "content-length: 4\\r\\n\\r\\nnext", sent
+
+
+@given("its earlier exchange had a callback for the end of its response")
+def step_earlier_callback(context: Any) -> None:
+    context.called = []
+    context.connection.request(RequestHead(b"GET", b"/", []), BodyStream.from_bytes(b""))
+    context.connection.on_response_read = lambda: context.called.append("earlier")
+    context.connection.dataReceived(RESPONSE)
+    assert context.idle.pop() is context.connection
+
+
+@when("the response to its next exchange has no length and ends with the connection")
+def step_close_next(context: Any) -> None:
+    async def confirm() -> bool:
+        return True
+
+    connection = context.connection
+    connection.confirm_end = confirm
+    connection.request(RequestHead(b"GET", b"/", []), BodyStream.from_bytes(b""))
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nok")
+    connection.connectionLost(Failure(ConnectionDone()))
+
+
+@then("the callback of the earlier exchange was not called")
+def step_not_called(context: Any) -> None:
+    assert context.called == [], context.called
