--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -18,7 +18,7 @@
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import (
     BodyConsumed,
-    BodyTooLarge,
+    BodyOverrun,
     BodyTruncated,
     ConnectionLost,
     ExchangeCancelled,
@@ -237,7 +237,7 @@
         if self._remaining_request_bytes is None:
             self._write(messages.format_chunk(data))
         elif len(data) > self._remaining_request_bytes:
-            self.fail(BodyTooLarge())
+            self.fail(BodyOverrun())
         else:
             self._remaining_request_bytes -= len(data)
             self._write(data)
@@ -643,7 +643,7 @@
     if body.length is None:
         return None
     if body.buffered_bytes > body.length:
-        return BodyTooLarge()
+        return BodyOverrun()
     return BodyTruncated() if body.ended and body.buffered_bytes < body.length else None
 
 
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -9,8 +9,10 @@
 import httptools
 import structlog
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from foxtailproxy.clock import WorkTimer
@@ -75,7 +77,7 @@
         self.reason = reason
 
 
-@implementer(IPushProducer)
+@implementer(IPushProducer, IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Connection of one client.
 
@@ -166,6 +168,25 @@
         except RequestRejected as error:
             self._reject(error.status, error.reason)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, since a client that sends no more counts as gone.
+
+        If it still reads, the close may not seem to end a response that is incomplete.
+        """
+        if self._exchanges and self._ends_response(self._exchanges[0]):
+            self.abort()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    @staticmethod
+    def _ends_response(exchange: ServerExchange) -> bool:
+        """Return whether only the end of the connection may end the response in progress."""
+        is_old = exchange.head.http_version == "1.0"
+        return is_old and exchange.response_started and not exchange.keep_alive
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: the last response is sent."""
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Abort the exchanges after the client has disconnected."""
         self._closed = True
@@ -269,7 +290,12 @@
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        """Reset the state and restart the header timeout for a new request."""
+        """Reset the state and restart the header timeout for a new request.
+
+        Raises `RequestRejected` behind the last response, to which there is no response.
+        """
+        if self._closed:
+            raise RequestRejected(400, "behind-last-response")
         self._heads_begun += 1
         self._in_head = True
         self._head_size = 0
@@ -415,6 +441,8 @@
     def _reject(self, status: int, reason: str) -> None:
         """Respond to the request that is being received, after all earlier ones, and close."""
         self._rejected = True
+        if self._closed:
+            return
         self._stop_timer()
         log.info(
             "request_invalid", status=status, reason=reason, earlier_requests=self._count_earlier()
@@ -452,6 +480,9 @@
         if not exchange.body.ended:
             # What still takes the body waits for bytes that are not read any more.
             exchange.body.abandon(ConnectionLost())
+        if self._closed:
+            # The response was behind the last one and is not sent.
+            return
         if not exchange.keep_alive or not exchange.body.ended:
             self._close()
             return
@@ -482,9 +513,10 @@
             write_now(self.transport, data)
 
     def abort(self) -> None:
-        """Abort the connection."""
+        """Abort the connection, unless its last response is complete and may yet be delivered."""
+        if self._lingers:
+            return
         self._closed = True
-        self._lingers = False
         if self.connected:
             self.transport.abortConnection()
 
