Free the slot of a call that ends with an error of the node itself

Cause: the target's node took a slot and released it after the failures of an exchange only. Any other error, there an attempt id that cannot be written in a head, left the slot, the connection and the run at the peer as they were. All three end with the call now, whatever the error; the error is logged as before.

Evidence: the new scenario of target.feature fails on the code before (13 passed, 1 failed): two of the three calls ended, the third one waited for a slot, and two slots stayed taken.

--- a/foxtailproxy/peer_server.py
+++ b/foxtailproxy/peer_server.py
@@ -153,7 +153,12 @@
             decline_policy=decline_policy_from_head(call_head),
             send_number=call_head.number,
         )
-        outcome = await self._target.run(call)
+        try:
+            outcome = await self._target.run(call)
+        except Exception:
+            # The connection logs the error and is cut; others may wait for the run as well.
+            run.fail(Unknown(UnknownReason.UPSTREAM_LOST))
+            raise
         await run.complete(outcome, self._limits.replay_bytes)
 
     def _answer_recovery_query(self, exchange: ServerExchange, send_id: str) -> None:
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -337,8 +337,10 @@
         arrived_ms = self._clock.now_ms()
         active_calls: list[ActiveCall] = []
         if self.refusals.admit(call.send_id):
-            outcome = await self._admit_and_run(call, active_calls)
-            self.refusals.end(call.send_id)
+            try:
+                outcome = await self._admit_and_run(call, active_calls)
+            finally:
+                self.refusals.end(call.send_id)
         else:
             wait_ms = math.ceil(self.refusals.wait_ms)
             outcome = Error(NotRun(NotRunReason.REFUSING, wait_ms))
@@ -465,6 +467,16 @@
         return None
 
     async def _run_admitted(self, active_call: ActiveCall) -> Outcome:
+        try:
+            return await self._send_admitted(active_call)
+        except Exception:
+            # Otherwise the slot would stay taken until the process ends.
+            self._release(active_call)
+            if active_call.connection is not None:
+                active_call.connection.abort()
+            raise
+
+    async def _send_admitted(self, active_call: ActiveCall) -> Outcome:
         call = active_call.call
         # The process of the upstream may have changed while the call waited for its slot.
         rejection = self._rejection(call)
--- a/foxtailproxy/tests/steps/target.py
+++ b/foxtailproxy/tests/steps/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
@@ -69,6 +70,24 @@
     assert fixture.factory.connections == count, fixture.factory.connections
 
 
+@when("{count:d} calls whose attempt id cannot be written in a head are run")
+def step_calls_that_raise(context: Any, count: int) -> None:
+    context.simulated = fixture = TargetWithUpstream(
+        "never answers", platform=True, network=NetworkReactor()
+    )
+    context.errors = []
+    for _ in range(count):
+        call = replace(make_call(fixture.clock, 5000), attempt_id="\u0416")
+        ensureDeferred(fixture.target.run(call)).addErrback(context.errors.append)
+    advance(fixture.clock, 100, 1)
+
+
+@then("{count:d} of them ended with an error")
+def step_ended_with_error(context: Any, count: int) -> None:
+    assert len(context.errors) == count, context.errors
+    assert all(error.check(UnicodeEncodeError) for error in context.errors), context.errors
+
+
 @then("{count:d} slots are in use")
 def step_slots_taken(context: Any, count: int) -> None:
     simulated = getattr(context, "simulated", None)
--- a/foxtailproxy/tests/target.feature
+++ b/foxtailproxy/tests/target.feature
@@ -42,3 +42,9 @@
       | may     | not after it                 | 160   | 0     |
       | may not | while they may be overdue    | 160   | 2     |
       | may not | not after that               | 280   | 0     |
+
+  # Guards against slots that stay taken for good after an error that no one expected.
+  Scenario: Calls that end with an error of the node itself do not keep their slots
+    When 3 calls whose attempt id cannot be written in a head are run
+    Then 3 of them ended with an error
+    And 0 slots are in use
