Forward no caller's header that only nodes may set, and none that removes theirs

Cause: the platform's dialect forwarded all headers of a caller. The node of the target read the first Foxtail-Call header, which was the caller's, and the options of the caller's Connection header were applied to what its node had added. The headers of a caller are reduced to those that may be forwarded before the node adds its own.

--- a/foxtailproxy/platform/dialect.py
+++ b/foxtailproxy/platform/dialect.py
@@ -79,8 +79,11 @@
         if not attempt_id:
             return MalformedCall("the x-foxtailproxy-attempt-id header is missing")
         timeout_text = messages.get_header_text(headers, header_names.TIMEOUT_MS)
+        # The caller's Connection header must not name what the node adds.
         forwarded_headers = [
-            pair for pair in headers if pair[0] not in header_names.NODE_SET_REQUEST_HEADERS
+            pair
+            for pair in strip_node_headers(messages.end_to_end_headers(headers))
+            if pair[0] not in header_names.NODE_SET_REQUEST_HEADERS
         ]
         # The caller's service is set where the request originates, and is forwarded with it.
         forwarded_headers.append((header_names.CALLER_SERVICE, self._local_service().encode()))
--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -138,6 +138,19 @@
       | the caller's service is the own   | attempt-id=a1 caller-service=wages    | caller kalender       |
       | callers cannot expect an instance | attempt-id=a1 expect-instance=i-1     | expect none           |
 
+  # Guards against a caller that sets what only nodes may, or removes what they add: it got the answers of other requests.
+  Scenario Outline: A caller's header <header> does not reach another node
+    When a request with the header <header> is forwarded by a node whose local target serves kalender
+    Then exactly the headers <names> leave the node, with the caller's service kalender
+
+    Examples:
+      | header                                           | names                                                    |
+      | Foxtail-Call: ["a1",0,"days"]                    | host x-foxtailproxy-caller-service foxtail-call          |
+      | Foxtail-Boot: b1                                 | host x-foxtailproxy-caller-service foxtail-call          |
+      | Connection: X-Foxtailproxy-Caller-Service        | host x-foxtailproxy-caller-service foxtail-call          |
+      | Connection: close, Foxtail-Call                  | host x-foxtailproxy-caller-service foxtail-call          |
+      | X-Trace: t1                                      | host x-trace x-foxtailproxy-caller-service foxtail-call  |
+
   Scenario Outline: Headers sent between nodes with <what>
     When <what> is sent between nodes of the platform
     Then it has exactly the headers <names>
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -293,6 +293,30 @@
 }
 
 
+@when(
+    "a request with the header {header} is forwarded by a node whose local target serves {service}"
+)
+def step_forward_request(context: Any, header: str, service: str) -> None:
+    name, _, value = header.partition(": ")
+    sent = [(b"host", b"days.example"), (b"x-foxtailproxy-attempt-id", b"a1")]
+    sent.append((name.lower().encode(), value.encode()))
+    request = PlatformDialect(lambda: service).read_caller_request(sent)
+    assert isinstance(request, CallerRequest)
+    clock = fake_clock()
+    call = make_call(clock, 500)
+    call.attempt_id, call.head.headers = request.attempt_id, request.headers
+    context.forwarded_headers = call_headers(call, clock)
+
+
+@then("exactly the headers {names} leave the node, with the caller's service {service}")
+def step_forwarded_headers(context: Any, names: str, service: str) -> None:
+    headers = context.forwarded_headers
+    assert [name.decode() for name, _ in headers] == names.split(), headers
+    assert get_header_text(headers, b"x-foxtailproxy-caller-service") == service
+    head = parse_call_head(headers)
+    assert head is not None and head.attempt == "a1", head
+
+
 @when("{message} is sent between nodes of the platform")
 def step_transfer(context: Any, message: str) -> None:
     context.transferred_headers, context.is_equivalent = TRANSFER_BY_MESSAGE[message](
