Test requests that are answered before their body has ended

A connection whose request was answered before its end, or whose body fails after the head of the answer, is not used again, and nothing more of the body is written to it.

--- a/foxtailproxy/tests/client_connection.feature
+++ b/foxtailproxy/tests/client_connection.feature
@@ -107,3 +107,21 @@
     And its earlier exchange had a callback for the end of its response
     When the response to its next exchange has no length and ends with the connection
     Then the callback of the earlier exchange was not called
+
+  # Guards against a request that a server reads as the rest of an earlier one, which it answered before its end.
+  Scenario Outline: A request <framing> is answered <when>
+    Given a connection that is kept open
+    When a request <framing> is sent and answered <when>
+    Then the exchange is answered, and <sent> was sent
+    And the connection is <state>
+
+    Examples:
+      | framing       | when                                      | sent                                                               | state      |
+      | with a length | before its body                           | content-length: 4\r\n\r\n                                          | aborted    |
+      | in chunks     | before its body                           | transfer-encoding: chunked\r\n\r\n                                 | aborted    |
+      | with a length | within its body                           | content-length: 4\r\n\r\nab                                        | aborted    |
+      | in chunks     | within its body                           | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n                      | aborted    |
+      | with a length | from within its body until after its end  | content-length: 4\r\n\r\nabcd                                      | used again |
+      | in chunks     | from within its body until after its end  | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n  | used again |
+      | with a length | after its body has failed                 | content-length: 4\r\n\r\nab                                        | aborted    |
+      | in chunks     | after its body has failed                 | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n                      | aborted    |
--- a/foxtailproxy/tests/steps/client_connection.py
+++ b/foxtailproxy/tests/steps/client_connection.py
@@ -35,6 +35,9 @@
 READ_ELSEWHERE = "read elsewhere"
 """What may happen to a body besides bytes."""
 
+ANSWER_HEAD = "answer's head"
+ANSWER_END = "answer's end"
+
 RESET_AFTER_S = 0.05
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -333,3 +336,26 @@
 @then("the callback of the earlier exchange was not called")
 def step_not_called(context: Any) -> None:
     assert context.called == [], context.called
+
+
+PARTS_BY_ANSWER_TIME = {
+    "before its body": [ANSWER_HEAD, ANSWER_END, b"ab", b"cd", END],
+    "within its body": [b"ab", ANSWER_HEAD, ANSWER_END, b"cd", END],
+    "from within its body until after its end": [b"ab", ANSWER_HEAD, b"cd", END, ANSWER_END],
+    "after its body has failed": [b"ab", ANSWER_HEAD, FAILURE, ANSWER_END],
+}
+
+
+@when("a request {framing} is sent and answered {moment}")
+def step_request_answered(context: Any, framing: str, moment: str) -> None:
+    body = BodyStream(REQUEST_LENGTH if framing == "with a length" else None)
+    context.results = []
+    exchange = context.connection.request(RequestHead(b"PUT", b"/", []), body)
+    exchange.addBoth(context.results.append)
+    for part in PARTS_BY_ANSWER_TIME[moment]:
+        if part == ANSWER_HEAD:
+            context.connection.dataReceived(RESPONSE[:-1])
+        elif part == ANSWER_END:
+            context.connection.dataReceived(RESPONSE[-1:])
+        else:
+            _apply(body, part)
