--- a/foxtailproxy/http/client.py
+++ b/foxtailproxy/http/client.py
@@ -18,7 +18,7 @@
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.errors import (
     BodyConsumed,
-    BodyTooLarge,
+    BodyOverrun,
     BodyTruncated,
     ConnectionLost,
     ExchangeCancelled,
@@ -237,7 +237,7 @@
         if self._remaining_request_bytes is None:
             self._write(messages.format_chunk(data))
         elif len(data) > self._remaining_request_bytes:
-            self.fail(BodyTooLarge())
+            self.fail(BodyOverrun())
         else:
             self._remaining_request_bytes -= len(data)
             self._write(data)
@@ -313,6 +313,7 @@
         """Parse data from the server."""
         if not self.busy:
             # Unsolicited bytes could be mistaken for the response to the next request.
+            self._log_unsolicited_bytes()
             self.abort()
             return
         if self.on_data_received is not None:
@@ -322,17 +323,29 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if not self._message_complete:
+            if self._message_complete:
+                self._log_unsolicited_bytes()
+            else:
                 self._fail(_http_error(error))
             self.abort()
             return
         finally:
             self._read = b""
         if self._message_complete:
+            if self._unexpected_response and not self.trace.skipped_responses:
+                self._log_unsolicited_bytes()
             self._exchange_done()
         elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self.fail(MalformedResponse())
 
+    def _log_unsolicited_bytes(self) -> None:
+        """Log bytes behind the response to the latest request."""
+        log.warning(
+            "unsolicited_bytes",
+            attempt="" if self._matcher is None else self._matcher.request_id,
+            earlier_exchanges=self.trace.earlier_exchanges,
+        )
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Fail or complete the exchange in progress."""
         self.closed = True
@@ -419,7 +432,8 @@
         if status < 200 or self._response_deferred is None:
             return
         head = messages.ResponseHead(status, self._reason, self._headers)
-        if self._matcher is not None and holds_another_head(head):
+        matcher = self._matcher
+        if matcher is not None and holds_another_head(head, matcher.response_id):
             self.trace.stray_heads += 1
             raise StrayResponse
         if self._matcher is not None and not self._matcher.accepts(head):
@@ -629,7 +643,7 @@
     if body.length is None:
         return None
     if body.buffered_bytes > body.length:
-        return BodyTooLarge()
+        return BodyOverrun()
     return BodyTruncated() if body.ended and body.buffered_bytes < body.length else None
 
 
--- a/foxtailproxy/http/exchange.py
+++ b/foxtailproxy/http/exchange.py
@@ -10,6 +10,7 @@
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import (
     BodyConsumed,
+    BodyOverrun,
     BodyTooLarge,
     BodyTruncated,
     ConnectionLost,
@@ -32,11 +33,13 @@
 class ServerExchange:
     """Request of a client and the response to it.
 
-    `unread_ms` is the time for which the request waited for this process to read it.
+    `number` counts the requests of the connection from 0, `unread_ms` is the time for which this
+    one waited for the process to read it.
     """
 
     def __init__(self, connection: ServerConnection, head: messages.RequestHead) -> None:
         self.head = head
+        self.number = 0
         self.unread_ms = 0
         self.body = BodyStream(None, connection)
         self.keep_alive = True
@@ -65,6 +68,11 @@
             held += self._queued_response[1].buffered_bytes
         return held
 
+    @property
+    def client_port(self) -> int:
+        """Port of the client's end of the connection; it tells its connections apart."""
+        return self._connection.client_port
+
     @property
     def client_left(self) -> bool:
         """Whether the client has closed the connection, also if that is still to be read.
@@ -115,14 +123,19 @@
                 status=head.status,
                 received=body.size,
                 held=body.buffered_bytes,
-                earlier_responses=self._connection.response_count,
+                client_port=self.client_port,
+                request_number=self.number,
             )
             self.body_failed(BodyConsumed())
             return
         self._response_body = body
         framing = self._framing_headers(head, body)
         wire_head = messages.format_response(head, framing)
-        if body.ended and self._has_body and body.buffered_bytes == self._remaining_bytes:
+        if body.ended and not self._has_body:
+            self._connection.write(wire_head)
+            self._finish()
+            return
+        if body.ended and body.buffered_bytes == self._remaining_bytes:
             # A single write, so that the client reads head and body at once.
             self._connection.write(wire_head + body.buffered())
             self._finish()
@@ -166,7 +179,7 @@
         if self._remaining_bytes is not None:
             if len(data) > self._remaining_bytes:
                 # The rest would be taken for the beginning of the next response.
-                self.body_failed(BodyTooLarge())
+                self.body_failed(BodyOverrun())
                 return
             self._remaining_bytes -= len(data)
         self._connection.write(messages.format_chunk(data) if self._chunked else data)
@@ -218,6 +231,7 @@
 
     def abort(self) -> None:
         """Abort the connection."""
+        self.aborted = True
         self._connection.abort()
 
     def pause_response(self) -> None:
--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -9,8 +9,10 @@
 import httptools
 import structlog
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from foxtailproxy.clock import WorkTimer
@@ -75,15 +77,15 @@
         self.reason = reason
 
 
-@implementer(IPushProducer)
+@implementer(IPushProducer, IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Connection of one client.
 
     Responses are sent in the order of the requests, also the one that rejects an invalid request. A
     pipelined request for which `may_overlap` is true is served concurrently with the earlier ones,
-    if all of those are being served. `response_count` counts the responses sent. With `bounds`, the
-    connection counts for the bounds of all clients, which may close it, and a body must progress
-    within the idle time.
+    if all of those are being served. `request_count` counts the requests whose head was
+    complete. With `bounds`, the connection counts for the bounds of all clients, which may close
+    it, and a body must progress within the idle time.
     """
 
     transport: Any = None
@@ -97,7 +99,8 @@
         bounds: ClientBounds | None = None,
     ) -> None:
         self.closing = False
-        self.response_count = 0
+        self.client_port = 0
+        self.request_count = 0
         self._bounds = bounds
         self._reading = False
         self._body_progressed = False
@@ -127,6 +130,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and start the header timeout."""
+        self.client_port = self.transport.getPeer().port
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._start_timer(self.limits.header_time_ms)
@@ -164,6 +168,25 @@
         except RequestRejected as error:
             self._reject(error.status, error.reason)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, since a client that sends no more counts as gone.
+
+        If it still reads, the close may not seem to end a response that is incomplete.
+        """
+        if self._exchanges and self._ends_response(self._exchanges[0]):
+            self.abort()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    @staticmethod
+    def _ends_response(exchange: ServerExchange) -> bool:
+        """Return whether only the end of the connection may end the response in progress."""
+        is_old = exchange.head.http_version == "1.0"
+        return is_old and exchange.response_started and not exchange.keep_alive
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: the last response is sent."""
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Abort the exchanges after the client has disconnected."""
         self._closed = True
@@ -267,7 +290,12 @@
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        """Reset the state and restart the header timeout for a new request."""
+        """Reset the state and restart the header timeout for a new request.
+
+        Raises `RequestRejected` behind the last response, to which there is no response.
+        """
+        if self._closed:
+            raise RequestRejected(400, "behind-last-response")
         self._heads_begun += 1
         self._in_head = True
         self._head_size = 0
@@ -294,6 +322,8 @@
         length = self._check_head(head)
         self._headers, self._url = [], b""
         exchange = ServerExchange(self, head)
+        exchange.number = self.request_count
+        self.request_count += 1
         if exchange.held_bytes > self.limits.request_memory_bytes:
             raise RequestRejected(431, "header-too-large")
         exchange.unread_ms = ms_since_last_arrival(self.transport)
@@ -411,6 +441,8 @@
     def _reject(self, status: int, reason: str) -> None:
         """Respond to the request that is being received, after all earlier ones, and close."""
         self._rejected = True
+        if self._closed:
+            return
         self._stop_timer()
         log.info(
             "request_invalid", status=status, reason=reason, earlier_requests=self._count_earlier()
@@ -441,7 +473,6 @@
 
     def exchange_finished(self, exchange: ServerExchange) -> None:
         """Serve the next request, wait for one, or close the connection."""
-        self.response_count += 1
         if self._exchanges and self._exchanges[0] is exchange:
             self._exchanges.popleft()
         if self._bounds is not None and not self._exchanges:
@@ -449,6 +480,9 @@
         if not exchange.body.ended:
             # What still takes the body waits for bytes that are not read any more.
             exchange.body.abandon(ConnectionLost())
+        if self._closed:
+            # The response was behind the last one and is not sent.
+            return
         if not exchange.keep_alive or not exchange.body.ended:
             self._close()
             return
@@ -479,9 +513,10 @@
             write_now(self.transport, data)
 
     def abort(self) -> None:
-        """Abort the connection."""
+        """Abort the connection, unless its last response is complete and may yet be delivered."""
+        if self._lingers:
+            return
         self._closed = True
-        self._lingers = False
         if self.connected:
             self.transport.abortConnection()
 
--- a/foxtailproxy/tests/client_connection.feature
+++ b/foxtailproxy/tests/client_connection.feature
@@ -51,8 +51,8 @@
     Examples:
       | framing       | fault                               | error         |
       | with a length | has ended, 2 bytes short            | BodyTruncated |
-      | with a length | has ended, 2 bytes over             | BodyTooLarge  |
-      | with a length | has 2 bytes too many so far         | BodyTooLarge  |
+      | with a length | has ended, 2 bytes over             | BodyOverrun   |
+      | with a length | has 2 bytes too many so far         | BodyOverrun   |
       | with a length | has ended and was read elsewhere    | BodyConsumed  |
       | in chunks     | has ended and was read elsewhere    | BodyConsumed  |
       | with a length | is being read elsewhere             | BodyConsumed  |
@@ -69,9 +69,9 @@
     Examples:
       | framing       | fault                 | error          | sent                                                           |
       | with a length | ends 2 bytes short    | BodyTruncated  | content-length: 4\r\n\r\nab                                    |
-      | with a length | goes on for 2 bytes   | BodyTooLarge   | content-length: 4\r\n\r\nabcd                                  |
-      | with a length | goes on after its end | BodyTooLarge   | content-length: 4\r\n\r\nabcd                                  |
-      | in chunks     | goes on after its end | BodyTooLarge   | transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n       |
+      | with a length | goes on for 2 bytes   | BodyOverrun    | content-length: 4\r\n\r\nabcd                                  |
+      | with a length | goes on after its end | BodyOverrun    | content-length: 4\r\n\r\nabcd                                  |
+      | in chunks     | goes on after its end | BodyOverrun    | transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n       |
       | with a length | fails                 | ConnectionLost | content-length: 4\r\n\r\nab                                    |
       | in chunks     | fails                 | ConnectionLost | transfer-encoding: chunked\r\n\r\n2\r\nab\r\n                  |
 
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -143,3 +143,39 @@
       | longer than declared                            |
       | longer than declared and still arriving         |
       | shorter than declared                           |
+
+  # Guards against a connection that is never closed, and keeps its node from stopping.
+  Scenario Outline: A <method> request whose body is too large is rejected, and the connection closed
+    Given a client that sends a <method> request whose body of chunks is too large
+    Then the client reads one response with status 413, and the end of the connection
+
+    Examples:
+      | method |
+      | PUT    |
+      | HEAD   |
+
+  # Guards against a part of a response that looks whole, since the client ended what it sends and only the end of the connection ends the body.
+  Scenario Outline: A client of HTTP/<version> closes its sending side while it reads a response <framing>
+    Given a connection whose HTTP/<version> client has read a part of a response <framing>
+    When the client closes its sending side
+    Then the client sees its connection <end>
+
+    Examples:
+      | version | framing          | end    |
+      | 1.0     | without a length | reset  |
+      | 1.1     | without a length | closed |
+      | 1.1     | with a length    | closed |
+
+  # Guards against a reset that takes along the last response, before the client has read it.
+  Scenario Outline: <what> behind the last response
+    Given a connection whose last response is complete, with <what> behind it
+    Then what the client sends is read for 500 ms before the close
+
+    Examples:
+      | what                                             |
+      | nothing                                          |
+      | a malformed request in the same read             |
+      | a further request in the same read               |
+      | a request that is answered later                 |
+      | a request whose answer fails later               |
+      | a request whose handler fails later              |
