Refuse a call from another node whose attempt id would split a head

The attempt id of a call between nodes is JSON, where a string may hold line breaks, and was written into the head of the request to the target as it was. Such a call is malformed now: it is not run, and answered with 400.

Evidence: four of the six new rows of platform.feature fail on the code before (81 passed, 4 failed) and pass now. Not seen in a run with real processes.

--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -150,6 +150,20 @@
       | an answer | x-foxtailproxy-response-signature               |
       | a refusal | foxtail-outcome foxtail-retry-after-ms          |
 
+  # Guards against one request that its target reads as two: its head names the attempt, and JSON lets an id hold any character.
+  Scenario Outline: A call from another node whose attempt id has <what>
+    When a call with the attempt id <escaped> is read from another node
+    Then the call is <result>
+
+    Examples:
+      | what                     | escaped                     | result    |
+      | letters                  | a1                          | read      |
+      | a character beyond ASCII | a\u00a01                    | read      |
+      | a line break             | a1\r\nx-other: 1            | malformed |
+      | a second head            | a1\r\n\r\nGET / HTTP/1.1    | malformed |
+      | a line feed              | a1\nx-other: 1              | malformed |
+      | a null byte              | a\u0000                     | malformed |
+
   Scenario Outline: An upstream's response <status> with <sent>
     When an upstream responds <status> with <sent>
     Then the response decodes as <result>
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -311,6 +311,23 @@
     assert context.is_equivalent
 
 
+@when("a call with the attempt id {escaped} is read from another node")
+def step_read_call(context: Any, escaped: str) -> None:
+    call = make_call(fake_clock(), attempt_id="attempt")
+    headers = [
+        (name, value.replace(b'"attempt"', b'"%s"' % escaped.encode()))
+        for name, value in call_headers(call, fake_clock())
+    ]
+    head = parse_call_head(headers)
+    context.call_result = "malformed" if head is None else "read"
+    assert head is None or head.attempt == json.loads(f'"{escaped}"'), head
+
+
+@then("the call is {result}")
+def step_call_result(context: Any, result: str) -> None:
+    assert context.call_result == result, context.call_result
+
+
 @when("an upstream responds {status:d} with {response_headers}")
 def step_decode_response(context: Any, status: int, response_headers: str) -> None:
     head = ResponseHead(status, b"", parse_headers(response_headers))
--- a/foxtailproxy/wire.py
+++ b/foxtailproxy/wire.py
@@ -63,6 +63,9 @@
 MAX_NUMBER_LENGTH = 16
 """Longest number that is read from a header: an integer of hundreds of digits has no float."""
 
+LINE_SEPARATORS = frozenset("\r\n\0")
+"""Characters that no header may contain."""
+
 NO_LIMIT = -1
 RULE_NUMBER_COUNT = 7
 """Number of numeric fields that follow the name in an encoded rule."""
@@ -101,11 +104,17 @@
 def parse_call_head(headers: messages.HeaderList) -> CallHead | None:
     """Return the head of a call from another node; `None` if it is missing or malformed."""
     value = messages.get_header(headers, CALL_HEADER)
+    if value is None:
+        return None
     try:
-        return None if value is None else msgspec.json.decode(value, type=CallHead)
+        head = msgspec.json.decode(value, type=CallHead)
     except msgspec.MsgspecError as error:
         log.warning("call_head_malformed", error=str(error))
         return None
+    if not LINE_SEPARATORS.isdisjoint(head.attempt):
+        log.warning("call_head_malformed", error="the attempt id would split a head")
+        return None
+    return head
 
 
 def decline_policy_from_head(head: CallHead) -> DeclinePolicy:
