Reset the connection of an HTTP/1.0 client that half-closes during a response

A client of HTTP/1.0 that closes its sending side and reads on, as some tools do, took a part of a response for the whole one: a response whose length is not known when it begins ends with the connection to such a client, and the part that it had read was followed by a regular close.

Cause: a client that sends no more counts as gone, and Twisted closes its connection as regularly as after a whole response. ServerConnection handles the end of what the client sends now: it resets the connection if only its end would end the response in progress. Other responses show by their own framing that they are cut.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -9,8 +9,10 @@
 import httptools
 import structlog
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from foxtailproxy.clock import WorkTimer
@@ -75,7 +77,7 @@
         self.reason = reason
 
 
-@implementer(IPushProducer)
+@implementer(IPushProducer, IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Connection of one client.
 
@@ -164,6 +166,25 @@
         except RequestRejected as error:
             self._reject(error.status, error.reason)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, since a client that sends no more counts as gone.
+
+        If it still reads, the close may not seem to end a response that is incomplete.
+        """
+        if self._exchanges and self._ends_response(self._exchanges[0]):
+            self.abort()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    @staticmethod
+    def _ends_response(exchange: ServerExchange) -> bool:
+        """Return whether only the end of the connection may end the response in progress."""
+        is_old = exchange.head.http_version == "1.0"
+        return is_old and exchange.response_started and not exchange.keep_alive
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: the last response is sent."""
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Abort the exchanges after the client has disconnected."""
         self._closed = True
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -143,3 +143,15 @@
       | longer than declared                            |
       | longer than declared and still arriving         |
       | shorter than declared                           |
+
+  # Guards against a part of a response that looks whole, since the client ended what it sends and only the end of the connection ends the body.
+  Scenario Outline: A client of HTTP/<version> closes its sending side while it reads a response <framing>
+    Given a connection whose HTTP/<version> client has read a part of a response <framing>
+    When the client closes its sending side
+    Then the client sees its connection <end>
+
+    Examples:
+      | version | framing          | end    |
+      | 1.0     | without a length | reset  |
+      | 1.1     | without a length | closed |
+      | 1.1     | with a length    | closed |
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -4,10 +4,13 @@
 
 import re
 from dataclasses import replace
+from random import Random
 from typing import Any
 
 from behave import given, then, when
+from twisted.internet.tcp import Server
 
+from foxtailproxy.clock import Clock
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.exchange import ServerExchange
@@ -22,6 +25,7 @@
     RecordingTransport,
     play_session,
 )
+from foxtailproxy.tests.server_links import HandReactor, MemoryLink
 
 
 @when("a client runs the session {name}")
@@ -325,3 +329,47 @@
     assert b"second" not in received and b"more" not in received, received
     assert not received.endswith((b"body", messages.LAST_CHUNK)), received
     assert len(context.failures) == 1, context.failures
+
+
+@given("a connection whose HTTP/{version} client has read a part of a response {framing}")
+def step_part_of_response(context: Any, version: str, framing: str) -> None:
+    reactor = HandReactor()
+    body = BodyStream(4 if framing == "with a length" else None)
+
+    async def handle(exchange: ServerExchange) -> None:
+        exchange.respond(ResponseHead(200, b"OK"), body)
+
+    factory = ServerFactory(handle, SERVER_LIMITS, Clock(reactor))
+    protocol = factory.buildProtocol(None)
+    context.link = MemoryLink(Random(0))
+    connection = Server(context.link.server, protocol, ("", 0), None, 0, reactor)
+    protocol.makeConnection(connection)
+    context.link.send(b"GET / HTTP/%s\r\n%s\r\n" % (version.encode(), HOST_HEADER))
+    context.link_reactor = reactor
+    _read_link(context)
+    body.feed(b"bo")
+    assert b"bo" in _read_link(context)
+
+
+def _read_link(context: Any) -> bytes:
+    """Return what the client reads until nothing more is on its way."""
+    received = b""
+    for _ in range(20):
+        if context.link.readable():
+            context.link_reactor.read()
+        if context.link.writable():
+            context.link_reactor.write()
+        context.link_reactor.advance(0)
+        received += context.link.read(1000)
+    return received
+
+
+@when("the client closes its sending side")
+def step_half_close(context: Any) -> None:
+    context.link.half_close()
+    _read_link(context)
+
+
+@then("the client sees its connection {end}")
+def step_connection_end(context: Any, end: str) -> None:
+    assert context.link.end == end, context.link.end
