Let no request behind the last response cut the connection before that is delivered

A caller lost a complete response, the last one on its connection, to a reset.

Cause: after its last response a connection is read for 500 ms, so that the kernel does not reset it. What was still going on behind that response ended this sooner. A further request, or a malformed one, in the same read set its timer anew, so that it was closed at once or after the idle time; a request that ran meanwhile, and was answered or failed afterwards, closed its sending side a second time, which Twisted reports as a lost connection, or aborted it. None of this happens any more once the last response is complete: nothing more is parsed, and what ends later is ignored.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -288,7 +288,12 @@
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        """Reset the state and restart the header timeout for a new request."""
+        """Reset the state and restart the header timeout for a new request.
+
+        Raises `RequestRejected` behind the last response, to which there is no response.
+        """
+        if self._closed:
+            raise RequestRejected(400, "behind-last-response")
         self._heads_begun += 1
         self._in_head = True
         self._head_size = 0
@@ -432,6 +437,8 @@
     def _reject(self, status: int, reason: str) -> None:
         """Respond to the request that is being received, after all earlier ones, and close."""
         self._rejected = True
+        if self._closed:
+            return
         self._stop_timer()
         log.info(
             "request_invalid", status=status, reason=reason, earlier_requests=self._count_earlier()
@@ -470,6 +477,9 @@
         if not exchange.body.ended:
             # What still takes the body waits for bytes that are not read any more.
             exchange.body.abandon(ConnectionLost())
+        if self._closed:
+            # The response was behind the last one and is not sent.
+            return
         if not exchange.keep_alive or not exchange.body.ended:
             self._close()
             return
@@ -500,9 +510,10 @@
             write_now(self.transport, data)
 
     def abort(self) -> None:
-        """Abort the connection."""
+        """Abort the connection, unless its last response is complete and may yet be delivered."""
+        if self._lingers:
+            return
         self._closed = True
-        self._lingers = False
         if self.connected:
             self.transport.abortConnection()
 
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -155,3 +155,17 @@
       | 1.0     | without a length | reset  |
       | 1.1     | without a length | closed |
       | 1.1     | with a length    | closed |
+
+  # Guards against a reset that takes along the last response, before the client has read it.
+  Scenario Outline: <what> behind the last response
+    Given a connection whose last response is complete, with <what> behind it
+    Then what the client sends is read for 500 ms before the close
+
+    Examples:
+      | what                                             |
+      | nothing                                          |
+      | a malformed request in the same read             |
+      | a further request in the same read               |
+      | a request that is answered later                 |
+      | a request whose answer fails later               |
+      | a request whose handler fails later              |
--- a/foxtailproxy/tests/http_sessions.py
+++ b/foxtailproxy/tests/http_sessions.py
@@ -122,25 +122,29 @@
 
 
 class RecordingTransport(StringTransport):
-    """In-memory transport that records how it is closed."""
+    """In-memory transport that records how it is closed, at first and each time."""
 
     def __init__(self) -> None:
         super().__init__()
         self.close_kind = ""
+        self.ends: list[str] = []
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Do nothing."""
 
     def loseConnection(self) -> None:  # noqa: N802
         """Record an orderly close."""
+        self.ends.append("closed")
         self.close_kind = self.close_kind or "closed"
 
     def loseWriteConnection(self) -> None:  # noqa: N802
         """Record an orderly close of the sending side."""
+        self.ends.append("half-closed")
         self.close_kind = self.close_kind or "closed"
 
     def abortConnection(self) -> None:  # noqa: N802
         """Record an abort."""
+        self.ends.append("cut")
         self.close_kind = self.close_kind or "cut"
 
 
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 from typing import Any
 
 from behave import given, then, when
+from twisted.internet.defer import Deferred
 from twisted.internet.tcp import Server
 
 from foxtailproxy.clock import Clock
 from foxtailproxy.http import messages
 from foxtailproxy.http.body import BodyStream, DiscardSink
+from foxtailproxy.http.errors import BodyTruncated
 from foxtailproxy.http.exchange import ServerExchange
 from foxtailproxy.http.messages import ResponseHead
 from foxtailproxy.http.server import PIPELINE_LIMIT, ServerFactory, ServerLimits
@@ -130,8 +133,13 @@
     context.connection.dataReceived(INVALID_REQUESTS[fault])
 
 
-def _open_connection(context: Any, handle: Any, limits: ServerLimits = SERVER_LIMITS) -> None:
-    context.factory = ServerFactory(handle, limits, context.clock)
+def _open_connection(
+    context: Any,
+    handle: Any,
+    limits: ServerLimits = SERVER_LIMITS,
+    may_overlap: Callable[[messages.RequestHead], bool] = lambda head: False,
+) -> None:
+    context.factory = ServerFactory(handle, limits, context.clock, may_overlap)
     context.connection = context.factory.buildProtocol(None)
     context.transport = RecordingTransport()
     context.connection.makeConnection(context.transport)
@@ -373,3 +381,55 @@
 @then("the client sees its connection {end}")
 def step_connection_end(context: Any, end: str) -> None:
     assert context.link.end == end, context.link.end
+
+
+BYTES_BEHIND = {
+    "a malformed request in the same read": INVALID_REQUESTS["bytes that are no request"],
+    "a further request in the same read": b"GET /next HTTP/1.1\r\n%s\r\n" % HOST_HEADER,
+    "a request that is answered later": b"GET /late HTTP/1.1\r\n%s\r\n" % HOST_HEADER,
+    "a request whose answer fails later": b"GET /late HTTP/1.1\r\n%s\r\n" % HOST_HEADER,
+    "a request whose handler fails later": b"GET /late HTTP/1.1\r\n%s\r\n" % HOST_HEADER,
+}
+
+
+@given("a connection whose last response is complete, with {what} behind it")
+def step_last_response(context: Any, what: str) -> None:
+    context.clock = fake_clock()
+    first, late = BodyStream(None), BodyStream(4)
+    late_request: Deferred[None] = Deferred()
+
+    async def handle(exchange: ServerExchange) -> None:
+        if exchange.head.target == b"/late":
+            await late_request
+        body = late if exchange.head.target == b"/late" else first
+        exchange.respond(ResponseHead(200, b"OK"), body)
+
+    _open_connection(context, handle, may_overlap=lambda head: True)
+    if "same read" in what:
+        first.end()
+    head = b"GET /first HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+    if "same read" in what:
+        # A response that begins before the end of the request's body is the last one.
+        head = b"POST /first HTTP/1.1\r\n%sContent-Length: 1\r\n\r\nx" % HOST_HEADER
+    context.connection.dataReceived(head + BYTES_BEHIND.get(what, b""))
+    if not first.ended:
+        first.end()
+    advance(context.clock, 5)
+    assert context.transport.ends == ["half-closed"], context.transport.ends
+    if "handler fails" in what:
+        late_request.errback(ValueError("expected"))
+    elif "later" in what:
+        late_request.callback(None)
+        late.feed(b"late")
+        late.fail(BodyTruncated()) if "fails" in what else late.end()
+
+
+@then("what the client sends is read for {ms:d} ms before the close")
+def step_read_before_close(context: Any, ms: int) -> None:
+    advance(context.clock, ms - 10)
+    assert context.transport.ends == ["half-closed"], context.transport.ends
+    advance(context.clock, 200)
+    # The transport in memory does not report that it is closed, so that it is closed again.
+    assert context.transport.ends[:2] == ["half-closed", "closed"], context.transport.ends
+    assert set(context.transport.ends[1:]) == {"closed"}, context.transport.ends
+    assert context.transport.value().count(b"HTTP/1.1 ") == 1, context.transport.value()
