Pin the framing of responses that have no body

A node passes the length on that an upstream declares in a response to HEAD and in a 304, where RFC 9110 (8.6) allows it, and never in a 204, where it does not. Such a response ends with its head (RFC 9112, 6.3), and no body is sent.

--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -169,3 +169,21 @@
       | a request that is answered later                 |
       | a request whose answer fails later               |
       | a request whose handler fails later              |
+
+  # No client may take the length for that of a body (RFC 9112, 6.3); 204 must not have one (RFC 9110, 8.6).
+  Scenario Outline: A response without a body, of status <status> to <method>, whose upstream declared <declared>
+    Given a client that sends <method> and then GET, and an upstream whose head has status <status> and declares <declared>
+    Then the first response has the framing <framing> and no body, and the second one follows it
+
+    Examples:
+      | method | status | declared  | framing           |
+      | HEAD   | 200    | 5 bytes   | content-length: 5 |
+      | HEAD   | 200    | 0 bytes   | none              |
+      | HEAD   | 200    | no length | none              |
+      | HEAD   | 404    | 5 bytes   | content-length: 5 |
+      | HEAD   | 204    | 5 bytes   | none              |
+      | HEAD   | 304    | 5 bytes   | content-length: 5 |
+      | GET    | 304    | 5 bytes   | content-length: 5 |
+      | GET    | 304    | no length | none              |
+      | GET    | 204    | 5 bytes   | none              |
+      | POST   | 204    | no length | none              |
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -433,3 +433,35 @@
     assert context.transport.ends[:2] == ["half-closed", "closed"], context.transport.ends
     assert set(context.transport.ends[1:]) == {"closed"}, context.transport.ends
     assert context.transport.value().count(b"HTTP/1.1 ") == 1, context.transport.value()
+
+
+@given(
+    "a client that sends {method} and then GET, and an upstream whose head has status {status:d} "
+    "and declares {declared}"
+)
+def step_bodiless_response(context: Any, method: str, status: int, declared: str) -> None:
+    context.clock = fake_clock()
+    length = None if declared == "no length" else int(declared.split()[0])
+
+    async def handle(exchange: ServerExchange) -> None:
+        if exchange.head.target == b"/first":
+            # A ClientConnection ends the body of such a response at once.
+            body = BodyStream(length)
+            body.end()
+            exchange.respond(ResponseHead(status, b"First"), body)
+        else:
+            exchange.respond(ResponseHead(200, b"OK"), BodyStream.from_bytes(b"second"))
+
+    _open_connection(context, handle)
+    for line in (b"%s /first" % method.encode(), b"GET /second"):
+        context.connection.dataReceived(b"%s HTTP/1.1\r\n%s\r\n" % (line, HOST_HEADER))
+    advance(context.clock, 5)
+    context.status = status
+
+
+@then("the first response has the framing {framing} and no body, and the second one follows it")
+def step_bodiless_framing(context: Any, framing: str) -> None:
+    expected = f"HTTP/1.1 {context.status} First\r\n"
+    expected += "" if framing == "none" else f"{framing}\r\n"
+    expected += "\r\nHTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond"
+    assert context.transport.value().decode() == expected, context.transport.value()
