Reset the connections of HTTP/1.0 clients whose response a stopping node cuts off

A client of HTTP/1.0 took a part of a response for the whole one if its node stopped meanwhile: when the time for running calls has passed, or while the client reads too slowly.

Cause: the reactor closes all open connections when it stops, as regularly as after a whole response, and a response whose length is not known when it begins ends with the connection to such a client. ServerFactory.close, which the node calls before it stops, resets these connections now. A killed node is not helped by it.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -123,6 +123,7 @@
         self._closed = False
         self._lingers = False
         self._linger_limit_ms = 0.0
+        self._last_ended_by_close = False
         self._pause_reasons: set[str] = set()
 
     # Twisted protocol
@@ -171,14 +172,21 @@
 
         If it still reads, the close may not seem to end a response that is incomplete.
         """
-        if self._exchanges and self._ends_response(self._exchanges[0]):
-            self.abort()
+        if self.may_seem_to_end_response:
+            abort_now(self.transport)
         else:
             self.transport.connectionLost(Failure(ConnectionDone()))
 
+    @property
+    def may_seem_to_end_response(self) -> bool:
+        """Whether a close now might be taken for the end of a response that is not all sent."""
+        if self._exchanges and self._is_ended_by_close(self._exchanges[0]):
+            return True
+        return self._last_ended_by_close and has_unsent_bytes(self.transport)
+
     @staticmethod
-    def _ends_response(exchange: ServerExchange) -> bool:
-        """Return whether only the end of the connection may end the response in progress."""
+    def _is_ended_by_close(exchange: ServerExchange) -> bool:
+        """Return whether only the end of the connection may end a response that has begun."""
         is_old = exchange.head.http_version == "1.0"
         return is_old and exchange.response_started and not exchange.keep_alive
 
@@ -470,6 +478,7 @@
     def exchange_finished(self, exchange: ServerExchange) -> None:
         """Serve the next request, wait for one, or close the connection."""
         self.response_count += 1
+        self._last_ended_by_close = self._last_ended_by_close or self._is_ended_by_close(exchange)
         if self._exchanges and self._exchanges[0] is exchange:
             self._exchanges.popleft()
         if self._bounds is not None and not self._exchanges:
@@ -652,8 +661,14 @@
             connection.limits = limits
 
     def close(self) -> None:
-        """Stop the timeout checks."""
+        """Stop the timeout checks, because the reactor is to stop and to close all connections.
+
+        Those whose close might be taken for the end of a response are reset before that.
+        """
         self._check_timer.close()
+        for connection in list(self.connections):
+            if connection.may_seem_to_end_response:
+                abort_now(connection.transport)
 
     def _check_timeouts(self) -> bool:
         now_ms = self._clock.now_ms()
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -156,6 +156,18 @@
       | 1.1     | without a length | closed |
       | 1.1     | with a length    | closed |
 
+  Scenario Outline: A node stops while its HTTP/<version> client reads a response <framing> of which <part> has arrived
+    Given a connection whose HTTP/<version> client has read a part of a response <framing>
+    When <part> of the response has arrived and the node stops
+    Then the client sees its connection <end>
+
+    Examples:
+      | version | framing          | part | end    |
+      | 1.0     | without a length | half | reset  |
+      | 1.0     | without a length | all  | reset  |
+      | 1.1     | without a length | half | closed |
+      | 1.1     | with a length    | half | closed |
+
   # Guards against a reset that takes along the last response, before the client has read it.
   Scenario Outline: <what> behind the last response
     Given a connection whose last response is complete, with <what> behind it
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -10,7 +10,9 @@
 
 from behave import given, then, when
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionLost
 from twisted.internet.tcp import Server
+from twisted.python.failure import Failure
 
 from foxtailproxy.clock import Clock
 from foxtailproxy.http import messages
@@ -342,16 +344,16 @@
 @given("a connection whose HTTP/{version} client has read a part of a response {framing}")
 def step_part_of_response(context: Any, version: str, framing: str) -> None:
     reactor = HandReactor()
-    body = BodyStream(4 if framing == "with a length" else None)
+    body = context.body = BodyStream(100_000 if framing == "with a length" else None)
 
     async def handle(exchange: ServerExchange) -> None:
         exchange.respond(ResponseHead(200, b"OK"), body)
 
-    factory = ServerFactory(handle, SERVER_LIMITS, Clock(reactor))
-    protocol = factory.buildProtocol(None)
+    context.factory = ServerFactory(handle, SERVER_LIMITS, Clock(reactor))
+    protocol = context.factory.buildProtocol(None)
     context.link = MemoryLink(Random(0))
-    connection = Server(context.link.server, protocol, ("", 0), None, 0, reactor)
-    protocol.makeConnection(connection)
+    context.link_server = Server(context.link.server, protocol, ("", 0), None, 0, reactor)
+    protocol.makeConnection(context.link_server)
     context.link.send(b"GET / HTTP/%s\r\n%s\r\n" % (version.encode(), HOST_HEADER))
     context.link_reactor = reactor
     _read_link(context)
@@ -368,7 +370,7 @@
         if context.link.writable():
             context.link_reactor.write()
         context.link_reactor.advance(0)
-        received += context.link.read(1000)
+        received += context.link.read(10_000)
     return received
 
 
@@ -378,6 +380,18 @@
     _read_link(context)
 
 
+@when("{part} of the response has arrived and the node stops")
+def step_stop_during_response(context: Any, part: str) -> None:
+    context.body.feed(b"x" * 50_000)
+    if part == "all":
+        context.body.end()
+    context.factory.close_idle()
+    context.factory.close()
+    # The reactor closes all connections that are still open.
+    context.link_server.connectionLost(Failure(ConnectionLost()))
+    _read_link(context)
+
+
 @then("the client sees its connection {end}")
 def step_connection_end(context: Any, end: str) -> None:
     assert context.link.end == end, context.link.end
