--- a/foxtailproxy/tests/server_fuzz.feature
+++ b/foxtailproxy/tests/server_fuzz.feature
@@ -24,6 +24,7 @@
       | 186  | a body that is longer than declared                                |
       | 89   | a last response that is lost, since the next request is malformed  |
       | 4549 | a part of a response to a client of HTTP/1.0 that half-closes      |
+      | 299  | the same, whose node stops                                         |
 
   # Guards against a generator that leaves out what the histories are for.
   Scenario: The histories hold all kinds of requests, responses and clients
--- a/foxtailproxy/tests/server_fuzz.py
+++ b/foxtailproxy/tests/server_fuzz.py
@@ -15,7 +15,9 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.error import ConnectionLost
 from twisted.internet.tcp import Server
+from twisted.python.failure import Failure
 
 from foxtailproxy.clock import Clock
 from foxtailproxy.http.body import BodyStream, DiscardSink
@@ -449,11 +451,19 @@
         if random.random() < 0.5:
             self._silent_steps = random.choice((5, 50))
         elif self.is_to_close and random.random() < 0.5:
-            random.choice((self._factory.close_after_responses, self._factory.close_idle))()
+            factory = self._factory
+            random.choice((factory.close_after_responses, factory.close_idle, self._stop))()
         elif self.client == LEAVES and random.random() < 0.3:
             self._unsent = []
             self._link.leave()
 
+    def _stop(self) -> None:
+        """Stop the node before the responses are complete."""
+        self._factory.close_idle()
+        self._factory.close()
+        for connection in self._reactor.reading | self._reactor.writing:
+            connection.connectionLost(Failure(ConnectionLost()))
+
 
 def play_histories(first: int, count: int, real_sockets: bool = False) -> list[str]:
     """Play the histories of a range of seeds; return what is wrong."""
