Read what a caller on a kept connection gets when hedged look-ups fail, with real processes

Over one hop and two, bodies of 24 bytes to 400 kB, with a length, in chunks and without a length, callers that send the next request ahead or after the answer.

A caller that had sent its next request ahead read, after a head with status 500 and "content-length: 24":

A body of 1500 bytes took in the whole next answer, and one of 70 kB was still short. Callers that did not send ahead got the head and no byte of the body within 3 s, on a connection that stayed open. Of the bodies of 400 kB, still arriving at first, one was cut and two were never sent; three, in chunks to the caller, ended regularly with 0 bytes or with the last 200,000.

--- a/foxtailproxy/tests/live_answers.feature
+++ b/foxtailproxy/tests/live_answers.feature
@@ -157,3 +157,35 @@
       | large | without a length | comes slowly                     | -    | whole             | whole      | yes    |
       | small | without a length | is cut by the end of its process | -    | whole, sent again | 502 or 504 | yes    |
       | large | without a length | is cut by the end of its process | -    | cut               | cut        | yes    |
+
+  # Guards against an answer that starts inside a head, since the one before it had lost its body (issue 43).
+  Scenario: Error answers of hedged look-ups whose second sends fail later
+    Given nodes with targets that stutter
+    Then callers whose hedged look-ups end over one hop as follows read their own answers
+      | size   | framing          | event                         | copy | second send      | next  | result       |
+      | tiny   | with a length    | is an error                   | -    | is closed before | ahead | whole        |
+      | tiny   | in chunks        | is an error                   | -    | is closed before | after | whole        |
+      | tiny   | without a length | is an error                   | -    | is declined      | ahead | whole        |
+      | small  | with a length    | is an error                   | -    | is declined      | after | whole        |
+      | small  | in chunks        | is an error                   | -    | is closed before | ahead | whole        |
+      | small  | without a length | is an error                   | -    | is closed before | after | whole        |
+      | medium | with a length    | is an error                   | -    | is declined      | ahead | whole or 502 |
+      | medium | in chunks        | is an error                   | -    | is declined      | after | whole or 502 |
+      | medium | without a length | is an error                   | -    | is closed before | ahead | whole or 502 |
+      | large  | with a length    | is an error that comes slowly | -    | is closed before | after | whole or 502 |
+      | large  | in chunks        | is an error that comes slowly | -    | is declined      | ahead | whole or 502 |
+      | large  | without a length | is an error that comes slowly | -    | is declined      | after | whole or 502 |
+    And callers whose hedged look-ups end over two hops as follows read their own answers
+      | size   | framing          | event                         | copy | second send      | next  | result       |
+      | tiny   | with a length    | is an error                   | -    | is declined      | after | whole        |
+      | tiny   | in chunks        | is an error                   | -    | is declined      | ahead | whole        |
+      | tiny   | without a length | is an error                   | -    | is closed before | after | whole        |
+      | small  | with a length    | is an error                   | -    | is closed before | ahead | whole        |
+      | small  | in chunks        | is an error                   | -    | is declined      | after | whole        |
+      | small  | without a length | is an error                   | -    | is declined      | ahead | whole        |
+      | medium | with a length    | is an error                   | -    | is closed before | after | whole or 502 |
+      | medium | in chunks        | is an error                   | -    | is closed before | ahead | whole or 502 |
+      | medium | without a length | is an error                   | -    | is declined      | after | whole or 502 |
+      | large  | with a length    | is an error that comes slowly | -    | is declined      | ahead | whole or 502 |
+      | large  | in chunks        | is an error that comes slowly | -    | is closed before | after | whole or 502 |
+      | large  | without a length | is an error that comes slowly | -    | is closed before | ahead | whole or 502 |
--- a/foxtailproxy/tests/raw_caller.py
+++ b/foxtailproxy/tests/raw_caller.py
@@ -12,10 +12,18 @@
 BODILESS_STATUSES = (204, 304)
 
 
+SHOWN_BYTES = 100
+"""Bytes shown of what is no response."""
+
+
 class ResponseCut(Exception):
     """Response that ended early, with what told it."""
 
 
+class NotAResponse(Exception):
+    """Bytes without a status line where a response should begin."""
+
+
 @dataclass(slots=True)
 class RawReply:
     """Response as a caller reads it; `cut` tells how it ended early, if it did."""
@@ -52,7 +60,7 @@
         self._socket.sendall(request.encode())
 
     def read_reply(self, method: str) -> RawReply:
-        """Read the next final response."""
+        """Read the next final response. Raises `NotAResponse`."""
         reply = RawReply()
         try:
             self._read_into(reply, method)
@@ -66,7 +74,10 @@
 
     def _read_into(self, reply: RawReply, method: str) -> None:
         while reply.status < 200:
-            lines = self._read_until(b"\r\n\r\n").decode("latin-1").split("\r\n")
+            head = self._read_until(b"\r\n\r\n")
+            if not head.startswith(b"HTTP/1."):
+                raise NotAResponse(head[:SHOWN_BYTES])
+            lines = head.decode("latin-1").split("\r\n")
             reply.status = int(lines[0].split(" ")[1])
         for line in lines[1:]:
             name, _, value = line.partition(":")
--- a/foxtailproxy/tests/steps/live_answers.py
+++ b/foxtailproxy/tests/steps/live_answers.py
@@ -12,8 +12,14 @@
 
 from behave import given, then, when
 
-from foxtailproxy.tests.raw_caller import RawCaller, RawReply
-from standins.answer_scripts import TO_HEAD, body_of, quoting
+from foxtailproxy.tests.raw_caller import NotAResponse, RawCaller, RawReply
+from standins.answer_scripts import (
+    STATUS_LINE_BY_EVENT,
+    TO_HEAD,
+    body_of,
+    error_body_of,
+    quoting,
+)
 from standins.fleet import http_json
 from standins.platform_fleet import HOST_BY_SERVICE, Machine, PlatformFleet
 
@@ -24,7 +30,20 @@
 RUN_BEFORE_LEAVE_MS = 400
 LATE_COPIES_SENT_S = 0.1
 KILL_NODE_AFTER_S = 0.08
-BYTES_BY_SIZE = {"small": 1500, "large": 400_000}
+BYTES_BY_SIZE = {"tiny": 24, "small": 1500, "medium": 70_000, "large": 400_000}
+ERROR_AFTER_MS = 500
+"""Time before an error answer, which arrives while the call's second send is open."""
+
+SECOND_END_MS = 200
+"""Time before the second send's end, which comes after the error answer."""
+
+MAX_ROUNDS = 16
+CALLERS_AT_ONCE = 4
+QUICK_LOOK_UPS = 8
+PREFIXES = [f"/class-{number}/" for number in range(128)]
+"""Prefixes of classes, each for one call, so that its times differ from those of earlier ones."""
+
+SENT_AHEAD = "ahead"
 SLOW_READ_BYTES = 8192
 SLOW_READ_PAUSE_S = 0.003
 UNKNOWN_OUTCOME = "502 or 504"
@@ -58,7 +77,7 @@
         for machine in self.machines[2:]:
             machine.target_options = ("--plain",)
         self.start_processes()
-        self.write_config()
+        self.write_config(prefixes=PREFIXES)
         for machine in self.machines:
             self.fleet.wait_until(
                 lambda machine=machine: self.is_ready(machine), f"{machine.name} is ready"
@@ -75,6 +94,10 @@
         """Return the machine of the target that plays scripts."""
         return self.caller_machine(service, "one")
 
+    def plain_machine(self, service: str) -> Machine:
+        """Return the machine of the plain target."""
+        return next(machine for machine in self.machines[2:] if machine.service == service)
+
     def runs(self, attempt: str) -> list[dict[str, Any]]:
         """Return the runs of an attempt at all targets."""
         return [run for machine in self.machines for run in self._runs_at(machine, attempt)]
@@ -118,15 +141,19 @@
         return any(run["instance"] == machine.instance for run in self.runs(request.attempt))
 
 
-def make_request(service: str, method: str, size: str = "small", **script: str) -> Request:
+def make_request(
+    service: str, method: str, size: str = "small", prefix: str = "/", **script: str
+) -> Request:
     """Return a request with an id of its own."""
     attempt = uuid.uuid4().hex[:16]
     body = body_of(attempt.encode(), BYTES_BY_SIZE[size])
     bodies = (quoting(body), body) if "quotes" in script.get("event", "") else (body,)
+    if script.get("event") in STATUS_LINE_BY_EVENT:
+        bodies = (error_body_of(attempt.encode(), BYTES_BY_SIZE[size]),)
     query = urlencode({"size": BYTES_BY_SIZE[size]} | script)
     if method == "HEAD" or script.get("framing", "").startswith("with status"):
         bodies = (b"",)
-    return Request(attempt, method, f"/{attempt}?{query}", HOST_BY_SERVICE[service], bodies)
+    return Request(attempt, method, f"{prefix}{attempt}?{query}", HOST_BY_SERVICE[service], bodies)
 
 
 def send(machine: Machine, request: Request, version: str = "1.1", slow: bool = False) -> RawReply:
@@ -159,6 +186,27 @@
     return f"COMPLETE, BUT WRONG: {len(reply.body)} bytes, attempt {named}, receipt {receipt}"
 
 
+def error_result_of(request: Request, reply: RawReply) -> str:
+    """Return what a caller reads where its target's answer is an error with a receipt.
+
+    `whole` if it is this answer, the status of a node's own failure, `cut`, or what is wrong.
+    """
+    if "Timeout" in reply.cut:
+        return f"INCOMPLETE, AND NOT CUT: {reply.status} with {len(reply.body)} bytes"
+    if reply.cut:
+        return "cut"
+    receipt = reply.header_by_name.get("x-foxtailproxy-response-signature")
+    if receipt is None and str(reply.status) in REFUSED:
+        return str(reply.status)
+    if (
+        reply.status == 500
+        and receipt == f"receipt.{request.attempt}"
+        and reply.body in request.bodies
+    ):
+        return "whole"
+    return f"COMPLETE, BUT WRONG: {reply.status}, receipt {receipt}, body {reply.body[:60]!r}"
+
+
 @given("nodes with targets that stutter")
 def step_start(context: Any) -> None:
     context.live = AnswersFleet()
@@ -408,6 +456,111 @@
     assert "call_hedged" in live.node_log(machine)
 
 
+def _send_quick_look_ups(caller: RawCaller, prefix: str) -> None:
+    for _ in range(QUICK_LOOK_UPS):
+        request = make_request("kalender", "GET", prefix=prefix)
+        caller.send(request.method, request.target, request.host, request.attempt)
+        assert result_of(request, caller.read_reply(request.method)) == "whole"
+
+
+class KeptCaller:
+    """Caller with one kept connection, whose look-up ends with the error of a row's script."""
+
+    def __init__(self, machine: Machine, row: Any, prefix: str) -> None:
+        self._row = row
+        self._caller = RawCaller(machine.caller_port)
+        self._prefix = prefix
+        self._following = make_request("kalender", "GET", prefix=prefix)
+        self.request = _row_request(
+            "kalender",
+            row,
+            prefix=prefix,
+            run_ms=str(ERROR_AFTER_MS),
+            plain_event=row["second send"],
+            plain_run_ms=str(SECOND_END_MS),
+        )
+
+    def send(self) -> None:
+        """Send quick look-ups, so that a late answer is unusual, and then that of the row."""
+        _send_quick_look_ups(self._caller, self._prefix)
+        self._send(self.request)
+        if self._row["next"] == SENT_AHEAD:
+            self._send(self._following)
+
+    def _send(self, request: Request) -> None:
+        self._caller.send(request.method, request.target, request.host, request.attempt)
+
+    def read(self) -> str:
+        """Return what is wrong with the answer or the next one; empty if nothing is."""
+        reply = self._caller.read_reply("GET")
+        result = error_result_of(self.request, reply)
+        problems = []
+        if result not in self._row["result"].split(" or "):
+            problems.append(f"expected {self._row['result']}, got {result}")
+        if not reply.cut and reply.header_by_name.get("connection") != "close":
+            next_result = self._read_following()
+            if next_result != "whole":
+                problems.append(f"the next answer {next_result}")
+        self._caller.close()
+        return "; ".join(problems)
+
+    def _read_following(self) -> str:
+        if self._row["next"] != SENT_AHEAD:
+            self._send(self._following)
+        try:
+            return result_of(self._following, self._caller.read_reply("GET"))
+        except NotAResponse as error:
+            return f"begins with {error}"
+
+
+def _is_hedged(live: AnswersFleet, attempt: str) -> bool:
+    """Return whether a second send reached a plain target while the first one was open.
+
+    A request whose connection is closed may run there twice, since it is sent again on a new one.
+    """
+    runs = sorted(live.runs(attempt), key=lambda run: run["at_s"])
+    scripted = live.scripted_machine("kalender").instance
+    if [run["instance"] == scripted for run in runs[:2]] != [True, False]:
+        return False
+    return bool(runs[1]["at_s"] - runs[0]["at_s"] < ERROR_AFTER_MS / 1000)
+
+
+@then("callers whose hedged look-ups end over {hops:w} hop as follows read their own answers")
+@then("callers whose hedged look-ups end over {hops:w} hops as follows read their own answers")
+def step_hedged_errors(context: Any, hops: str) -> None:
+    live: AnswersFleet = context.live
+    machine = live.caller_machine("kalender", hops)
+    rows, failures = list(context.table), []
+    prefixes = getattr(context, "prefixes", None) or iter(PREFIXES)
+    context.prefixes = prefixes
+    # A node hedges calls at its own target only if that has failed before.
+    for _ in range(MAX_ROUNDS):
+        # Successes at the plain target, so that the failures there do not end its use.
+        plain_caller = RawCaller(live.plain_machine("kalender").caller_port)
+        _send_quick_look_ups(plain_caller, "/")
+        plain_caller.close()
+        succeeding = make_request("kalender", "GET", event="starts late")
+        succeeding_caller = _open_request(machine, succeeding)
+        callers = [
+            (row, KeptCaller(machine, row, next(prefixes))) for row in rows[:CALLERS_AT_ONCE]
+        ]
+        for _, caller in callers:
+            caller.send()
+        for row, caller in callers:
+            problem = caller.read()
+            is_hedged = _is_hedged(live, caller.request.attempt)
+            if problem:
+                failures.append(f"{' | '.join(row.cells)}: {problem}")
+            if problem or is_hedged:
+                rows.remove(row)
+        assert result_of(succeeding, succeeding_caller.read_reply("GET")) == "whole"
+        succeeding_caller.close()
+        if not rows:
+            break
+    assert not failures, "\n".join(["rows failed:", *failures])
+    assert not rows, f"no second send reached a target: {rows}"
+
+
 @when("a target is replaced by another process at its address")
 def step_replace(context: Any) -> None:
     live: AnswersFleet = context.live
--- a/standins/answer_scripts.py
+++ b/standins/answer_scripts.py
@@ -31,6 +31,15 @@
 }
 TO_HEAD = "to HEAD"
 
+AN_ERROR, A_SLOW_ERROR = "is an error", "is an error that comes slowly"
+IS_DECLINED = "is declined"
+STATUS_LINE_BY_EVENT = {
+    AN_ERROR: b"500 Broken",
+    A_SLOW_ERROR: b"500 Broken",
+    IS_DECLINED: b"503 Full",
+}
+NOT_EXECUTED_HEADER = b"X-Foxtailproxy-Not-Executed: 1\r\n"
+
 INSTANCE_HEADER = b"X-Foxtailproxy-Instance-Id: i-1\r\n"
 INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
 ANONYMOUS_ERROR = b"HTTP/1.1 500 Broken\r\nContent-Length: 9\r\n\r\nan error\n"
@@ -61,6 +70,11 @@
     return (b"<%s>" % attempt) * (size // (len(attempt) + 2) + 1)
 
 
+def error_body_of(attempt: bytes, size: int) -> bytes:
+    """Return the body of an error answer to an attempt, which has exactly this size."""
+    return body_of(attempt, size)[:size]
+
+
 def head_of(
     attempt: bytes, status_line: bytes = b"200 OK", headers: bytes = INSTANCE_HEADER
 ) -> bytes:
@@ -76,10 +90,14 @@
 
 
 def answer_pieces(
-    framing: str, attempt: bytes, body: bytes, headers: bytes = INSTANCE_HEADER
+    framing: str,
+    attempt: bytes,
+    body: bytes,
+    headers: bytes = INSTANCE_HEADER,
+    status_line: bytes = b"200 OK",
 ) -> list[bytes]:
     """Return an answer in two pieces, the first of which ends inside the body if it has one."""
-    status_line = STATUS_LINE_BY_FRAMING.get(framing, b"200 OK")
+    status_line = STATUS_LINE_BY_FRAMING.get(framing, status_line)
     head, half = head_of(attempt, status_line, headers), len(body) // 2
     if framing in STATUS_LINE_BY_FRAMING:
         return [head + b"\r\n", b""]
@@ -188,6 +206,12 @@
     return [answer[0], READ_PAUSE_MS, "close"]
 
 
+def _closed_before(
+    script: AnswerScript, answer: list[bytes], own: bytes, earlier: bytes
+) -> list[Step]:
+    return ["close"]
+
+
 def _interim_before(
     script: AnswerScript, answer: list[bytes], own: bytes, earlier: bytes
 ) -> list[Step]:
@@ -246,6 +270,10 @@
     "comes slowly": _slowly,
     "stalls": _stalls,
     "starts late": _starts_late,
+    AN_ERROR: _no_copy,
+    A_SLOW_ERROR: _slowly,
+    IS_DECLINED: _no_copy,
+    "is closed before": _closed_before,
     "is reset within": _reset_within,
     "is closed within": _closed_within,
     "is cut by the end of its process": _process_ends_within,
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -9,6 +9,7 @@
 import threading
 import time
 import uuid
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -188,14 +189,22 @@
             self.machines
         )
 
-    def write_config(self, generation: int = 7, timeout_ms: int = 1200) -> None:
-        """Write a configuration to the store, as the operator does."""
+    def write_config(
+        self, generation: int = 7, timeout_ms: int = 1200, prefixes: Iterable[str] = ()
+    ) -> None:
+        """Write a configuration to the store, as the operator does.
+
+        The first service has a further rule, hence a class of its own, for each of the prefixes.
+        """
         listeners = [
             {"host": HOST_BY_SERVICE[name], "rule_set": [make_rule(name, "/", make_action(name))]}
             for name in SERVICES
         ]
         for listener in listeners:
             listener["rule_set"][0]["action"]["timeout_ms"] = timeout_ms  # type: ignore[index]
+        listeners[0]["rule_set"] += [  # type: ignore[operator]
+            make_rule(prefix.strip("/"), prefix, make_action(SERVICES[0])) for prefix in prefixes
+        ]
         listeners[1]["rule_set"][0]["route_type"] = "non_idempotent"  # type: ignore[index]
         text = config_text(generation, listeners=listeners)
         body = {"metadata": {"name": "main"}, "spec": json.loads(text)}
--- a/standins/stuttering_target.py
+++ b/standins/stuttering_target.py
@@ -5,9 +5,10 @@
 
 The query of a request chooses its answer, with the names of `standins.answer_scripts`: `framing`,
 `event`, `copy` (the framing of the copy), `size`, and `run_ms`, the time before it. Without an
-event, or with `--plain`, the answer is sent once, with a length. So is one that needs an earlier
-exchange on its connection if there was none. `/_standin/drain` and `/_standin/leave` announce that
-the target leaves.
+event, the answer is sent once, with a length. So is one that needs an earlier exchange on its
+connection if there was none. With `--plain`, `plain_event` takes the place of `event`, and
+`plain_run_ms` that of `run_ms` if it is given. `/_standin/drain` and `/_standin/leave` announce
+that the target leaves.
 
 Each run is written to standard output before it is answered, so that none is missing after a kill.
 """
@@ -27,11 +28,15 @@
 from twisted.internet.protocol import Factory
 
 from standins.answer_scripts import (
+    IS_DECLINED,
+    NOT_EXECUTED_HEADER,
+    STATUS_LINE_BY_EVENT,
     TO_HEAD,
     AnswerScript,
     ScriptPlayer,
     answer_pieces,
     body_of,
+    error_body_of,
     quoting,
     whole_answer,
 )
@@ -128,17 +133,20 @@
         value_by_name = {
             name: values[0] for name, values in parse_qs(urlsplit(target).query).items()
         }
+        prefix = "plain_" if factory.plain else ""
         script = AnswerScript(
             value_by_name.get("framing", "with a length"),
-            value_by_name.get("event", ""),
+            value_by_name.get(f"{prefix}event", ""),
             value_by_name.get("copy", "-"),
         )
-        body = body_of(attempt, int(value_by_name.get("size", DEFAULT_SIZE)))
+        is_error = script.event in STATUS_LINE_BY_EVENT
+        size = int(value_by_name.get("size", DEFAULT_SIZE))
+        body = error_body_of(attempt, size) if is_error else body_of(attempt, size)
         earlier, self._earlier = self._earlier, (attempt, body)
         earlier_kind = "none"
         if earlier is not None:
             earlier_kind = "earlier" if earlier[0] else "health check"
-        scripted = bool(script.event) and not factory.plain
+        scripted = bool(script.event)
         if "earlier" in script.event or "health check" in script.event:
             scripted = scripted and earlier_kind in script.event
         factory.write_line(
@@ -162,8 +170,12 @@
             whole_answer(script.copy_framing, copied_attempt, copied_body, headers)
             for copied_attempt, copied_body in ((attempt, body), earlier or (attempt, body))
         )
-        answer = answer_pieces(script.framing, attempt, body, headers)
-        self.play(script, answer, own, earlier_copy, int(value_by_name.get("run_ms", 0)))
+        status_line = STATUS_LINE_BY_EVENT.get(script.event, b"200 OK")
+        if script.event == IS_DECLINED:
+            headers += NOT_EXECUTED_HEADER
+        answer = answer_pieces(script.framing, attempt, body, headers, status_line)
+        run_ms = int(value_by_name.get(f"{prefix}run_ms", value_by_name.get("run_ms", 0)))
+        self.play(script, answer, own, earlier_copy, run_ms)
 
     def end_process(self) -> None:
         """End this process as a crash does."""
@@ -171,7 +183,7 @@
 
 
 class StutteringTargetFactory(Factory):
-    """Factory of a `StutteringTarget` for each connection; a `plain` one plays no scripts."""
+    """Factory of a `StutteringTarget` for each connection; a `plain` one plays `plain_event`."""
 
     protocol = StutteringTarget
     noisy = False
@@ -206,7 +218,7 @@
 @click.option("--instance", required=True)
 @click.option("--slots", type=int, default=12)
 @click.option("--announced-port", type=int, default=0, help="Port announced; 0 for --port.")
-@click.option("--plain", is_flag=True, help="Answer each request once, with a length.")
+@click.option("--plain", is_flag=True, help="Play the scripts of plain targets only.")
 @click.option("--silent-s", type=float, default=0.0, help="Time before the first heartbeat.")
 def main(
     address: str,
