Let the soak compare failures of targets, and account for each byte on a connection

Cause: its targets answered each run with status 200, so that no send of a call ended with a server error: the fault needs one, while the call's other send is open. Its callers compared body and receipt only of answers with status 200. They read with http.client, which drops what it has read beyond an answer. Each waited for an answer before the next request, so that a missing body would have been a silence of 10 s and not the next answer's head.

Now two fifths of the stuttering answers are failures with a body of their own (500, 404, and for look-ups 503 without Not-Executed), and a part of the look-ups run so long that they are hedged: they fail at one target, and half break off at another one. Callers read their sockets themselves: an answer with a receipt must be whole, with the status that a target gave this request; one without must be a node's own failure; no byte may come while no request waits. Some send look-ups ahead, read slowly or leave, and bookings and some look-ups have bodies, which targets compare by checksum. A part of the answers is large. What callers saw is written beside the logs.

--- a/foxtailproxy/tests/soak.feature
+++ b/foxtailproxy/tests/soak.feature
@@ -9,3 +9,4 @@
       | seed | duration | places | why                                                   |
       | 1    | 8        | 6      | a run of each change                                  |
       | 9    | 12       | 6      | SIGHUP reached a node before its handler and ended it |
+      | 7001 | 15       | 6      | the next answer was read as the body of a failure     |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,8 +8,10 @@
 import sys
 import time
 from dataclasses import dataclass
+from pathlib import Path
 
 import click
+import msgspec
 
 from soak.callers import Callers
 from soak.checks import RECOVERY_PATH, Observations, find_violations, read_ledger
@@ -25,17 +27,23 @@
 RECOVERY_TIMEOUT_S = 15.0
 """The users' limit on the time from the last fault until every node serves again."""
 
+LOWEST_ERROR_STATUS = 400
+
 REGIONS = ("pohja", "louna")
 
 
 @dataclass(frozen=True, slots=True)
 class SeedResult:
-    """Result of one seed; `log_folder` holds the logs of all processes."""
+    """Result of one seed; `log_folder` holds the logs of all processes.
+
+    `answered` counts the successes, `failed_by_target` the failures that a target gave.
+    """
 
     seed: int
     violations: list[str]
     requests: int
     answered: int
+    failed_by_target: int
     log_folder: str
 
 
@@ -62,12 +70,14 @@
         violations += _find_crashes(fleet)
     finally:
         fleet.close()
+    _write_results(callers, fleet.fleet.folder / "callers.log")
     service_by_place = {place.name: place.service for place in fleet.machines}
     ledger = read_ledger(fleet.fleet.folder, service_by_place)
     evacuated = {place.name for place in fleet.machines if place.data_center == EVACUATED}
     violations += find_violations(
         Observations(
             callers.results,
+            callers.stray_bytes,
             ledger,
             injector.node_fault_intervals,
             service_by_place,
@@ -76,7 +86,22 @@
         )
     )
     answered = sum(result.status == 200 for result in callers.results)
-    return SeedResult(seed, violations, len(callers.results), answered, str(fleet.fleet.folder))
+    failed_by_target = sum(
+        result.has_receipt and result.status >= LOWEST_ERROR_STATUS for result in callers.results
+    )
+    return SeedResult(
+        seed,
+        violations,
+        len(callers.results),
+        answered,
+        failed_by_target,
+        str(fleet.fleet.folder),
+    )
+
+
+def _write_results(callers: Callers, path: Path) -> None:
+    """Write what callers saw beside the logs of the processes, one line for each request."""
+    path.write_bytes(b"".join(msgspec.json.encode(line) + b"\n" for line in callers.results))
 
 
 def _inject_faults(plan: list[AnyFault], injector: FaultInjector) -> None:
@@ -138,8 +163,8 @@
         failed_count += bool(result.violations)
         verdict = "FAILED" if result.violations else "passed"
         click.echo(
-            f"seed {this_seed}: {verdict}; {result.requests} requests, {result.answered} answered; "
-            f"logs in {result.log_folder}"
+            f"seed {this_seed}: {verdict}; {result.requests} requests, {result.answered} answered, "
+            f"{result.failed_by_target} failed by their target; logs in {result.log_folder}"
         )
         for violation in result.violations[:20]:
             click.echo(f"  {violation}")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,74 +2,76 @@
 
 from __future__ import annotations
 
-import http.client
 import random
 import threading
 import time
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from urllib.parse import urlencode
 
-from standins.answer_scripts import body_of
-from standins.fleet import ADDRESS
-from standins.platform_fleet import HEADER_PREFIX, HOST_BY_SERVICE, Machine
-
-CONNECTIONS_PER_NODE = 3
-"""Caller connections to each node."""
+from soak.connection import AnswerCut, CallerConnection, InvalidBytes
+from soak.requests import Request, draw_look_up, draw_request
+from standins.platform_fleet import Machine
 
 MEAN_PAUSE_S = 0.08
 """Mean pause before each request of a connection."""
 
-SOCKET_TIMEOUT_S = 10.0
-"""Timeout of a caller's socket, far above the timeouts of its requests."""
+LAST_WAIT_S = 0.2
+"""Time after the last answer of a connection in which no byte may arrive, longer than the delay of
+a late copy."""
 
-REQUEST_TIMEOUT_MS = 2000
-"""Timeout that a request carries in its header."""
+LEAVE_SHARE = 0.04
+"""Share of the sends after which the caller leaves without an answer, or in it."""
 
-LONGEST_RUN_MS = 400
-BOOKING_SHARE = 0.4
+LONGEST_STAY_S = 0.5
 
-ANSWER_BYTES = 1500
-"""Size of an answer, which a node can hold back whole until it is known to be so."""
+CUT_REQUEST_BYTES = 10
+"""Bytes at the end of a request's body that a caller who leaves does not send."""
 
-STUTTER_SHARE = 0.3
-"""Share of the requests whose answers stutter."""
 
-STUTTERS = (
-    ("is sent once", ("without a length", "in chunks")),
-    ("is sent again at once", ("with a length", "in chunks", "without a length")),
-    ("is sent again 60 ms late", ("with a length", "in chunks", "without a length")),
-    ("is sent again in three reads", ("without a length",)),
-    ("comes after a copy of the earlier one", ("with a length", "without a length")),
-    ("has a copy of the earlier one inside", ("with a length", "without a length")),
-    ("comes slowly", ("with a length", "without a length")),
-    ("is reset within", ("with a length", "in chunks", "without a length")),
-    ("is closed within", ("with a length", "in chunks")),
-)
-"""What happens to the answers that stutter, and their framings."""
+@dataclass(frozen=True, slots=True)
+class CallerKind:
+    """Habits of a caller: look-ups sent ahead of the answers, and the speed of reading."""
+
+    ahead: int = 0
+    read_bytes: int = 65536
+    read_pause_s: float = 0.0
 
-COPY_FRAMINGS = ("with a length", "in chunks", "without a length")
+
+CALLER_KINDS = (
+    CallerKind(),
+    CallerKind(ahead=2),
+    CallerKind(ahead=1, read_bytes=8192, read_pause_s=0.003),
+)
+"""Callers of each node, with a connection each."""
 
 
 @dataclass(slots=True)
 class CallerResult:
-    """One request and its result at the caller; status 0 means that no answer came.
+    """One request and its result at the caller; status 0 means that no whole answer came.
 
-    `reused` is whether the connection had served an earlier request, `answer_matches` whether body
-    and signature are those of this request.
+    `reused` is whether the connection had served an earlier request, `has_receipt` whether the
+    answer is marked as a target's. `problem` says what is wrong with the bytes that came.
+    `is_cut` is whether the connection ended within the answer, `left` whether the caller ended it.
+    `is_behind_end` is whether it ended with an answer to an earlier request.
     """
 
-    attempt_id: str
+    request: Request
     node: str
-    service: str
-    path: str
     sent_s: float
     reused: bool
     status: int = 0
     end_s: float = 0.0
-    answer_matches: bool = False
     connected: bool = True
+    has_receipt: bool = False
+    problem: str = ""
+    is_cut: bool = False
+    left: bool = False
+    is_behind_end: bool = False
+
+    @property
+    def attempt_id(self) -> str:
+        """Id of the attempt."""
+        return self.request.attempt_id
 
 
 @dataclass
@@ -80,15 +82,17 @@
     seed: int
     now_s: Callable[[], float] = time.time
     results: list[CallerResult] = field(default_factory=list)
+    stray_bytes: list[str] = field(default_factory=list)
     _stopped: threading.Event = field(default_factory=threading.Event)
     _threads: list[threading.Thread] = field(default_factory=list)
 
     def start(self) -> None:
         """Start sending requests to all nodes."""
         for place in self.places:
-            for number in range(CONNECTIONS_PER_NODE):
+            for number, kind in enumerate(CALLER_KINDS):
                 rng = random.Random(f"{self.seed} {place.name} {number}")
-                thread = threading.Thread(target=self._run_connection, args=(place, rng))
+                caller = Caller(self, place, kind, rng)
+                thread = threading.Thread(target=caller.run, args=(self._stopped,))
                 thread.start()
                 self._threads.append(thread)
 
@@ -98,59 +102,124 @@
         for thread in self._threads:
             thread.join()
 
-    def _run_connection(self, place: Machine, rng: random.Random) -> None:
-        connection = http.client.HTTPConnection(
-            ADDRESS, place.caller_port, timeout=SOCKET_TIMEOUT_S
+
+class Caller:
+    """One caller of a node, with one connection at a time."""
+
+    def __init__(
+        self, callers: Callers, place: Machine, kind: CallerKind, rng: random.Random
+    ) -> None:
+        self._callers = callers
+        self._place = place
+        self._kind = kind
+        self._rng = rng
+        self._connection: CallerConnection | None = None
+        self._reused = False
+        self._latest = ""
+
+    def run(self, stopped: threading.Event) -> None:
+        """Send requests until the callers stop."""
+        while not stopped.is_set():
+            self._wait(self._rng.uniform(0, 2 * MEAN_PAUSE_S))
+            if not self._send_requests():
+                self._close()
+        self._wait(LAST_WAIT_S)
+        self._close()
+
+    def _wait(self, wait_s: float) -> None:
+        """Wait without a request; record bytes that arrive meanwhile."""
+        if self._connection is None:
+            time.sleep(wait_s)
+            return
+        started_s = time.monotonic()
+        try:
+            if self._connection.stays_open(wait_s):
+                return
+        except InvalidBytes as error:
+            self._callers.stray_bytes.append(
+                f"at {self._place.name}, after {self._latest}, {error}"
+            )
+        self._close()
+        time.sleep(max(0.0, started_s + wait_s - time.monotonic()))
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+        self._reused = False
+
+    def _send_requests(self) -> bool:
+        """Send one request or some look-ups at once; return whether the connection stays open."""
+        ahead = self._rng.randint(0, self._kind.ahead)
+        requests = (
+            [draw_look_up(self._rng) for _ in range(ahead + 1)]
+            if ahead
+            else [draw_request(self._rng)]
         )
-        reused = False
-        while not self._stopped.wait(rng.uniform(0, 2 * MEAN_PAUSE_S)):
-            reused = self._send_request(connection, place, rng, reused)
-            if not reused:
-                connection.close()
-        connection.close()
-
-    def _send_request(
-        self,
-        connection: http.client.HTTPConnection,
-        place: Machine,
-        rng: random.Random,
-        reused: bool,
-    ) -> bool:
-        """Send one request; return whether the connection stays open."""
-        service = "broneering" if rng.random() < BOOKING_SHARE else "kalender"
-        attempt_id = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
-        query = {"run_ms": rng.randrange(LONGEST_RUN_MS), "size": ANSWER_BYTES}
-        if rng.random() < STUTTER_SHARE:
-            event, framings = rng.choice(STUTTERS)
-            query |= {"event": event, "framing": rng.choice(framings)}
-            query["copy"] = rng.choice(COPY_FRAMINGS)
-        path = f"/{attempt_id}?{urlencode(query)}"
-        result = CallerResult(attempt_id, place.name, service, path, self.now_s(), reused)
-        self.results.append(result)
-        headers = {
-            "Host": HOST_BY_SERVICE[service],
-            f"{HEADER_PREFIX}Attempt-Id": attempt_id,
-            f"{HEADER_PREFIX}Timeout-Ms": str(REQUEST_TIMEOUT_MS),
-        }
+        data = b"".join(request.encode() for request in requests)
+        leaves = self._rng.random() < LEAVE_SHARE
+        if leaves and requests[0].body and self._rng.random() < 0.5:
+            data = data[:-CUT_REQUEST_BYTES]
+        now_s = self._callers.now_s
+        results = [
+            CallerResult(request, self._place.name, now_s(), self._reused, left=leaves)
+            for request in requests
+        ]
+        self._callers.results += results
+        if not self._connect():
+            for result in results:
+                result.connected, result.end_s = False, now_s()
+            return False
+        stays_open = self._exchange(data, results, leaves)
+        for result in results:
+            result.end_s = result.end_s or now_s()
+        self._latest = results[-1].attempt_id
+        self._reused = True
+        return stays_open
+
+    def _connect(self) -> bool:
+        if self._connection is None:
+            kind = self._kind
+            try:
+                self._connection = CallerConnection(
+                    self._place.caller_port, kind.read_bytes, kind.read_pause_s
+                )
+            except OSError:
+                return False
+        return True
+
+    def _exchange(self, data: bytes, results: list[CallerResult], leaves: bool) -> bool:
+        """Send requests and read their answers; return whether the connection stays open."""
+        assert self._connection is not None
         try:
-            if connection.sock is None:
-                connection.connect()
+            self._connection.send(data)
         except OSError:
-            result.connected = False
-            result.end_s = self.now_s()
             return False
-        try:
-            connection.request("GET", path, headers=headers)
-            response = connection.getresponse()
-            body = response.read()
-        except (OSError, http.client.HTTPException):
-            result.end_s = self.now_s()
+        if leaves:
+            time.sleep(self._rng.uniform(0, LONGEST_STAY_S))
             return False
-        signature = response.getheader(f"{HEADER_PREFIX}Response-Signature")
-        result.end_s = self.now_s()
-        result.answer_matches = (body, signature) == (
-            body_of(attempt_id.encode(), ANSWER_BYTES),
-            f"receipt.{attempt_id}",
-        )
-        result.status = response.status
-        return not response.will_close
+        stays_open = True
+        for result in results:
+            result.is_behind_end = not stays_open
+            if stays_open:
+                stays_open = self._read_answer(self._connection, result)
+        return stays_open
+
+    def _read_answer(self, connection: CallerConnection, result: CallerResult) -> bool:
+        """Read the answer to a request; return whether another one may follow it."""
+        try:
+            answer = connection.read_answer()
+        except InvalidBytes as error:
+            result.problem = str(error)
+        except TimeoutError:
+            result.is_cut = connection.answer_begun
+            if result.is_cut:
+                result.problem = "an answer goes no further on an open connection"
+        except (OSError, AnswerCut):
+            result.is_cut = connection.answer_begun
+        else:
+            result.status = answer.status
+            result.has_receipt = f"receipt.{result.attempt_id}" in answer.header_by_name.values()
+            result.problem = result.request.problem_of(answer)
+        result.end_s = self._callers.now_s()
+        return not result.problem and result.status != 0 and not answer.closes
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from soak.callers import REQUEST_TIMEOUT_MS, CallerResult
+from soak.callers import CallerResult
+from soak.requests import REQUEST_TIMEOUT_MS
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -30,10 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetRun:
-    """One run at a target; `instance` is the process that ran it."""
+    """One run at a target, which answered with `status`; `instance` is the process that ran it."""
 
     attempt_id: str
+    method: str
     path: str
+    checksum: int
+    status: int
     caller: str
     at_s: float
     service: str
@@ -64,7 +68,10 @@
                 runs.append(
                     TargetRun(
                         entry["attempt"],
+                        entry["method"],
                         entry["path"],
+                        entry["checksum"],
+                        entry["status"],
                         entry["caller"],
                         entry["at_s"],
                         service,
@@ -79,10 +86,12 @@
 class Observations:
     """Input of the checks; `node_fault_intervals` holds when nodes were killed or paused.
 
+    `stray_bytes` are those that callers received while no request of theirs waited.
     No run may begin at `evacuated_places` in the `evacuated_interval`.
     """
 
     results: list[CallerResult]
+    stray_bytes: list[str]
     ledger: Ledger
     node_fault_intervals: list[tuple[str, float, float]]
     service_by_place: dict[str, str]
@@ -106,6 +115,8 @@
         ("ran more than once", _repeated_runs(observations)),
         ("rejected as not run, but ran", _false_rejections(observations)),
         ("wrong or incomplete answer", _wrong_answers(observations)),
+        ("bytes that belong to no answer", observations.stray_bytes),
+        ("answer with a status that no target gave it", _changed_statuses(observations)),
         ("run without a matching request", _unrequested_runs(observations)),
         ("ran after the leave of its target was acknowledged", _runs_after_leave(observations)),
         (
@@ -137,9 +148,21 @@
 
 def _wrong_answers(observations: Observations) -> list[str]:
     return [
-        f"{result.attempt_id} at {result.node}"
+        f"{result.attempt_id} at {result.node}: {result.problem}"
         for result in observations.results
-        if result.status == 200 and not result.answer_matches
+        if result.problem
+    ]
+
+
+def _changed_statuses(observations: Observations) -> list[str]:
+    statuses_by_attempt: dict[str, set[int]] = defaultdict(set)
+    for run in observations.ledger.runs:
+        statuses_by_attempt[run.attempt_id].add(run.status)
+    return [
+        f"{result.attempt_id} at {result.node}: {result.status}, not one of {statuses}"
+        for result in observations.results
+        if result.has_receipt
+        and result.status not in (statuses := statuses_by_attempt[result.attempt_id])
     ]
 
 
@@ -153,8 +176,10 @@
         if result is None:
             details.append(f"{run.attempt_id} at {run.instance}")
             continue
-        requested = (result.path, result.service, observations.service_by_place[result.node])
-        if requested != (run.path, run.service, run.caller):
+        request = result.request
+        requested = (request.method, request.path, request.checksum, request.service)
+        caller = observations.service_by_place[result.node]
+        if (*requested, caller) != (run.method, run.path, run.checksum, run.service, run.caller):
             details.append(f"{run.attempt_id} at {run.instance}: {run} for {result}")
     return details
 
@@ -179,12 +204,20 @@
 
 
 def _cut_connections(observations: Observations) -> list[str]:
+    """Return the requests that ran without an answer, apart from those that the caller gave up.
+
+    A large answer may break off with its target or a link. A request behind an answer that ends the
+    connection is sent again by its caller.
+    """
     ran = {run.attempt_id for run in observations.ledger.runs}
     return [
         f"{result.attempt_id} at {result.node} after {result.end_s - result.sent_s:.2f} s"
         for result in observations.results
         if result.status == 0
         and result.connected
+        and not result.left
+        and not result.is_behind_end
+        and not (result.is_cut and result.request.is_streamed)
         and result.attempt_id in ran
         and not observations.overlaps_node_fault(result)
     ]
@@ -193,7 +226,8 @@
 def _late_answers(observations: Observations) -> list[str]:
     by_node: dict[str, list[CallerResult]] = defaultdict(list)
     for result in observations.results:
-        if result.connected and result.end_s - result.sent_s > REQUEST_TIMEOUT_MS / 1000:
+        elapsed_s = result.end_s - result.sent_s
+        if result.connected and not result.left and elapsed_s > REQUEST_TIMEOUT_MS / 1000:
             by_node[result.node].append(result)
     limit_s = REQUEST_TIMEOUT_MS / 1000 + DEADLINE_SLACK_S
     details = []
@@ -205,8 +239,10 @@
             and not observations.overlaps_node_fault(result)
         ]
         if len(late_results) > MAX_LATE_SHARE * len(slow_results):
-            longest_s = max(result.end_s - result.sent_s for result in late_results)
+            late_results.sort(key=lambda result: result.end_s - result.sent_s)
+            latest = late_results[-1]
             details.append(
-                f"{len(late_results)} of {len(slow_results)} at {node}, up to {longest_s:.1f} s"
+                f"{len(late_results)} of {len(slow_results)} at {node}, "
+                f"up to {latest.end_s - latest.sent_s:.1f} s ({latest.attempt_id})"
             )
     return details
--- a/standins/answer_scripts.py
+++ b/standins/answer_scripts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 from twisted.internet import reactor
@@ -61,6 +62,11 @@
     return (b"<%s>" % attempt) * (size // (len(attempt) + 2) + 1)
 
 
+def body_with_status(attempt: bytes, status: int, size: int) -> bytes:
+    """Return the body of the answer to an attempt with a status, each of which has its own."""
+    return body_of(attempt if status == HTTPStatus.OK else b"%s %d" % (attempt, status), size)
+
+
 def head_of(
     attempt: bytes, status_line: bytes = b"200 OK", headers: bytes = INSTANCE_HEADER
 ) -> bytes:
@@ -76,10 +82,14 @@
 
 
 def answer_pieces(
-    framing: str, attempt: bytes, body: bytes, headers: bytes = INSTANCE_HEADER
+    framing: str,
+    attempt: bytes,
+    body: bytes,
+    headers: bytes = INSTANCE_HEADER,
+    status_line: bytes = b"200 OK",
 ) -> list[bytes]:
     """Return an answer in two pieces, the first of which ends inside the body if it has one."""
-    status_line = STATUS_LINE_BY_FRAMING.get(framing, b"200 OK")
+    status_line = STATUS_LINE_BY_FRAMING.get(framing, status_line)
     head, half = head_of(attempt, status_line, headers), len(body) // 2
     if framing in STATUS_LINE_BY_FRAMING:
         return [head + b"\r\n", b""]
@@ -95,10 +105,14 @@
 
 
 def whole_answer(
-    framing: str, attempt: bytes, body: bytes, headers: bytes = INSTANCE_HEADER
+    framing: str,
+    attempt: bytes,
+    body: bytes,
+    headers: bytes = INSTANCE_HEADER,
+    status_line: bytes = b"200 OK",
 ) -> bytes:
     """Return an answer in one piece."""
-    return b"".join(answer_pieces(framing, attempt, body, headers))
+    return b"".join(answer_pieces(framing, attempt, body, headers, status_line))
 
 
 def _thirds(data: bytes) -> Iterator[Step]:
--- a/standins/stuttering_target.py
+++ b/standins/stuttering_target.py
@@ -4,10 +4,11 @@
     --control 127.0.0.1:7105 --instance i-1 [--plain] [--silent-s 2]
 
 The query of a request chooses its answer, with the names of `standins.answer_scripts`: `framing`,
-`event`, `copy` (the framing of the copy), `size`, and `run_ms`, the time before it. Without an
-event, or with `--plain`, the answer is sent once, with a length. So is one that needs an earlier
-exchange on its connection if there was none. `/_standin/drain` and `/_standin/leave` announce that
-the target leaves.
+`event`, `copy` (the framing of the copy), `status`, `size`, and `run_ms`, the time before it. Where
+it has several values for a name, each target process draws one, in the same place for all names.
+Without an event, or with `--plain`, the answer is sent once, with a length and status 200. So is
+one that needs an earlier exchange on its connection if there was none. `/_standin/drain` and
+`/_standin/leave` announce that the target leaves.
 
 Each run is written to standard output before it is answered, so that none is missing after a kill.
 """
@@ -18,6 +19,8 @@
 import signal
 import sys
 import time
+import zlib
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -27,16 +30,18 @@
 from twisted.internet.protocol import Factory
 
 from standins.answer_scripts import (
+    STATUS_LINE_BY_FRAMING,
     TO_HEAD,
     AnswerScript,
     ScriptPlayer,
     answer_pieces,
-    body_of,
+    body_with_status,
     quoting,
     whole_answer,
 )
 from standins.heartbeats import Heartbeats
 
+OK = b"200 OK"
 HEAD_END = b"\r\n\r\n"
 HEALTH_PATH = "/healthz"
 COMMAND_PATH = "/_standin/"
@@ -50,14 +55,18 @@
 class ScriptedRun(msgspec.Struct):
     """One request that ran; `at_s` is its start as Unix time.
 
-    `earlier` is the kind of the exchange before it on its connection.
+    `checksum` is that of the request's body, `status` that of the answer, `earlier` the kind of the
+    exchange before it on its connection.
     """
 
     attempt: str
+    method: str
     path: str
+    checksum: int
     caller: str
     at_s: float
     instance: str
+    status: int
     scripted: bool
     earlier: str
 
@@ -75,7 +84,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._received = b""
-        self._earlier: tuple[bytes, bytes] | None = None
+        self._earlier: tuple[bytes, bytes, bytes] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Write at once."""
@@ -100,9 +109,11 @@
             return
         self._received = b""
         method, target, _ = lines[0].split(" ")
-        self._answer(method, target, header_by_name)
+        self._answer(method, target, header_by_name, zlib.crc32(body))
 
-    def _answer(self, method: str, target: str, header_by_name: dict[str, str]) -> None:
+    def _answer(
+        self, method: str, target: str, header_by_name: dict[str, str], checksum: int
+    ) -> None:
         factory: StutteringTargetFactory = self.factory
         attempt = header_by_name.get("x-foxtailproxy-attempt-id", "").encode()
         path = urlsplit(target).path
@@ -110,7 +121,7 @@
             self.transport.write(NOT_READY)
             return
         if path == HEALTH_PATH:
-            self._earlier = (b"", b"well")
+            self._earlier = (b"", b"well", OK)
             self.transport.write(
                 whole_answer("with a length", b"", b"well", factory.identity_headers)
             )
@@ -125,44 +136,53 @@
         if expected != factory.instance:
             self.transport.write(MISDIRECTED % (attempt, factory.identity_headers))
             return
+        draw = zlib.crc32(attempt + factory.instance.encode())
         value_by_name = {
-            name: values[0] for name, values in parse_qs(urlsplit(target).query).items()
+            name: values[draw % len(values)]
+            for name, values in parse_qs(urlsplit(target).query).items()
         }
         script = AnswerScript(
             value_by_name.get("framing", "with a length"),
             value_by_name.get("event", ""),
             value_by_name.get("copy", "-"),
         )
-        body = body_of(attempt, int(value_by_name.get("size", DEFAULT_SIZE)))
-        earlier, self._earlier = self._earlier, (attempt, body)
+        earlier = self._earlier
         earlier_kind = "none"
         if earlier is not None:
             earlier_kind = "earlier" if earlier[0] else "health check"
         scripted = bool(script.event) and not factory.plain
         if "earlier" in script.event or "health check" in script.event:
             scripted = scripted and earlier_kind in script.event
+        if not scripted:
+            framing = TO_HEAD if method == "HEAD" else "with a length"
+            script = AnswerScript(framing, "is sent once", "-")
+        status = HTTPStatus(int(value_by_name.get("status", HTTPStatus.OK)) if scripted else 200)
+        status_line = b"%d %s" % (status, status.phrase.encode())
+        size = int(value_by_name.get("size", DEFAULT_SIZE))
+        body = body_with_status(attempt, status, size)
+        self._earlier = (attempt, body, status_line)
         factory.write_line(
             ScriptedRun(
                 attempt.decode(),
+                method,
                 target,
+                checksum,
                 header_by_name.get("x-foxtailproxy-caller-service", ""),
                 time.time(),
                 factory.instance,
+                int(STATUS_LINE_BY_FRAMING.get(script.framing, status_line)[:3]),
                 scripted,
                 earlier_kind,
             )
         )
         headers = factory.identity_headers
-        if not scripted:
-            framing = TO_HEAD if method == "HEAD" else "with a length"
-            script = AnswerScript(framing, "is sent once", "-")
         if "quotes" in script.event:
             body = quoting(body)
         own, earlier_copy = (
-            whole_answer(script.copy_framing, copied_attempt, copied_body, headers)
-            for copied_attempt, copied_body in ((attempt, body), earlier or (attempt, body))
+            whole_answer(script.copy_framing, *copied[:2], headers, copied[2])
+            for copied in ((attempt, body, status_line), earlier or (attempt, body, status_line))
         )
-        answer = answer_pieces(script.framing, attempt, body, headers)
+        answer = answer_pieces(script.framing, attempt, body, headers, status_line)
         self.play(script, answer, own, earlier_copy, int(value_by_name.get("run_ms", 0)))
 
     def end_process(self) -> None:
