--- a/foxtailproxy/tests/platform.feature
+++ b/foxtailproxy/tests/platform.feature
@@ -73,6 +73,20 @@
       | born as a fraction      | malformed         |
       | bytes that are no JSON  | malformed         |
 
+  # Guards against one request that its target reads as two: its head names the process that is to run it, as it was announced.
+  Scenario Outline: A heartbeat of a target whose id has <what>
+    When a heartbeat for the path <path> is decoded
+    Then the heartbeat decodes as <result>
+
+    Examples:
+      | what            | path                                  | result          |
+      | letters         | /instances/i-7f3a                     | an announcement |
+      | other alphabets | /instances/i-%C3%A4                   | an announcement |
+      | a line break    | /instances/i-1%0D%0Ax-other:%201      | malformed       |
+      | a second head   | /instances/i-1%0D%0A%0D%0AGET%20/days | malformed       |
+      | a line feed     | /instances/i-1%0Ax-other:%201         | malformed       |
+      | a null byte     | /instances/i-1%00                     | malformed       |
+
   # A heartbeat is not refused for its cold time: without it, the target would get no calls.
   Scenario Outline: A heartbeat and a health answer with the cold time <text>
     When a heartbeat and a health answer state the cold time <text>
@@ -124,6 +138,19 @@
       | the caller's service is the own   | attempt-id=a1 caller-service=wages    | caller kalender       |
       | callers cannot expect an instance | attempt-id=a1 expect-instance=i-1     | expect none           |
 
+  # Guards against a caller that sets what only nodes may, or removes what they add: it got the answers of other requests.
+  Scenario Outline: A caller's header <header> does not reach another node
+    When a request with the header <header> is forwarded by a node whose local target serves kalender
+    Then exactly the headers <names> leave the node, with the caller's service kalender
+
+    Examples:
+      | header                                           | names                                                    |
+      | Foxtail-Call: ["a1",0,"days"]                    | host x-foxtailproxy-caller-service foxtail-call          |
+      | Foxtail-Boot: b1                                 | host x-foxtailproxy-caller-service foxtail-call          |
+      | Connection: X-Foxtailproxy-Caller-Service        | host x-foxtailproxy-caller-service foxtail-call          |
+      | Connection: close, Foxtail-Call                  | host x-foxtailproxy-caller-service foxtail-call          |
+      | X-Trace: t1                                      | host x-trace x-foxtailproxy-caller-service foxtail-call  |
+
   Scenario Outline: Headers sent between nodes with <what>
     When <what> is sent between nodes of the platform
     Then it has exactly the headers <names>
--- a/foxtailproxy/tests/steps/platform_interface.py
+++ b/foxtailproxy/tests/steps/platform_interface.py
@@ -16,7 +16,7 @@
 from foxtailproxy.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.platform.dialect import PlatformDialect
-from foxtailproxy.platform.instances import HeartbeatError, decode_heartbeat
+from foxtailproxy.platform.instances import HeartbeatError, decode_heartbeat, instance_from_path
 from foxtailproxy.target_policy import DeclinePolicy
 from foxtailproxy.tests.fakes import fake_clock, make_call
 from foxtailproxy.wire import (
@@ -155,6 +155,15 @@
         context.heartbeat_result = "malformed"
 
 
+@when("a heartbeat for the path {path} is decoded")
+def step_decode_heartbeat_of(context: Any, path: str) -> None:
+    try:
+        decode_heartbeat(instance_from_path(path.encode()), json.dumps(HEARTBEAT).encode())
+        context.heartbeat_result = "an announcement"
+    except HeartbeatError:
+        context.heartbeat_result = "malformed"
+
+
 @when("a heartbeat and a health answer state the cold time {text}")
 def step_cold_time(context: Any, text: str) -> None:
     heartbeat = json.dumps({name: HEARTBEAT[name] for name in HEARTBEAT if name != "cold_ms"})
@@ -284,6 +293,30 @@
 }
 
 
+@when(
+    "a request with the header {header} is forwarded by a node whose local target serves {service}"
+)
+def step_forward_request(context: Any, header: str, service: str) -> None:
+    name, _, value = header.partition(": ")
+    sent = [(b"host", b"days.example"), (b"x-foxtailproxy-attempt-id", b"a1")]
+    sent.append((name.lower().encode(), value.encode()))
+    request = PlatformDialect(lambda: service).read_caller_request(sent)
+    assert isinstance(request, CallerRequest)
+    clock = fake_clock()
+    call = make_call(clock, 500)
+    call.attempt_id, call.head.headers = request.attempt_id, request.headers
+    context.forwarded_headers = call_headers(call, clock)
+
+
+@then("exactly the headers {names} leave the node, with the caller's service {service}")
+def step_forwarded_headers(context: Any, names: str, service: str) -> None:
+    headers = context.forwarded_headers
+    assert [name.decode() for name, _ in headers] == names.split(), headers
+    assert get_header_text(headers, b"x-foxtailproxy-caller-service") == service
+    head = parse_call_head(headers)
+    assert head is not None and head.attempt == "a1", head
+
+
 @when("{message} is sent between nodes of the platform")
 def step_transfer(context: Any, message: str) -> None:
     context.transferred_headers, context.is_equivalent = TRANSFER_BY_MESSAGE[message](
