--- a/standins/answer_scripts.py
+++ b/standins/answer_scripts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 from twisted.internet import reactor
@@ -70,6 +71,11 @@
     return (b"<%s>" % attempt) * (size // (len(attempt) + 2) + 1)
 
 
+def body_with_status(attempt: bytes, status: int, size: int) -> bytes:
+    """Return the body of the answer to an attempt with a status, each of which has its own."""
+    return body_of(attempt if status == HTTPStatus.OK else b"%s %d" % (attempt, status), size)
+
+
 def error_body_of(attempt: bytes, size: int) -> bytes:
     """Return the body of an error answer to an attempt, which has exactly this size."""
     return body_of(attempt, size)[:size]
@@ -113,10 +119,14 @@
 
 
 def whole_answer(
-    framing: str, attempt: bytes, body: bytes, headers: bytes = INSTANCE_HEADER
+    framing: str,
+    attempt: bytes,
+    body: bytes,
+    headers: bytes = INSTANCE_HEADER,
+    status_line: bytes = b"200 OK",
 ) -> bytes:
     """Return an answer in one piece."""
-    return b"".join(answer_pieces(framing, attempt, body, headers))
+    return b"".join(answer_pieces(framing, attempt, body, headers, status_line))
 
 
 def _thirds(data: bytes) -> Iterator[Step]:
