--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -172,16 +172,19 @@
     def readConnectionLost(self) -> None:  # noqa: N802
         """Close the connection, since a client that sends no more counts as gone.
 
-        If it still reads, the close may not seem to end a response that is incomplete.
+        It may still read, and must not take a part of a response for the whole one.
         """
-        if self.may_seem_to_end_response:
+        if self.close_hides_truncation:
             abort_now(self.transport)
         else:
             self.transport.connectionLost(Failure(ConnectionDone()))
 
     @property
-    def may_seem_to_end_response(self) -> bool:
-        """Whether a close now might be taken for the end of a response that is not all sent."""
+    def close_hides_truncation(self) -> bool:
+        """Whether a client would take a close now for the end of a response that is not all sent.
+
+        A response to a client of HTTP/1.0 may end with its connection.
+        """
         if self._exchanges and self._is_ended_by_close(self._exchanges[0]):
             return True
         return self._last_ended_by_close and has_unsent_bytes(self.transport)
@@ -666,11 +669,11 @@
     def close(self) -> None:
         """Stop the timeout checks, because the reactor is to stop and to close all connections.
 
-        Those whose close might be taken for the end of a response are reset before that.
+        Those whose close would hide that their response was cut are reset before that.
         """
         self._check_timer.close()
         for connection in list(self.connections):
-            if connection.may_seem_to_end_response:
+            if connection.close_hides_truncation:
                 abort_now(connection.transport)
 
     def _check_timeouts(self) -> bool:
--- a/foxtailproxy/http/stray_head.py
+++ b/foxtailproxy/http/stray_head.py
@@ -143,6 +143,8 @@
     if START in head.reason:
         return True
     for index, (_, value) in enumerate(head.headers):
+        if START not in value:
+            continue
         if STATUS_IN_VALUE.search(value) is not None or INTERIM_START.search(value) is not None:
             return True
         if STATUS_START.search(value) is not None and response_id(head.headers[index + 1 :]):
