Use no heartbeat that lacks a field or has one of another type

Cause: only service, address, slots, state and sequence were required. A body without the other fields made an announcement, with what it said of the service and with a start of its own. A later start made all true heartbeats of the target count as late, also the one that told its leaving. The protocol names the fields that each heartbeat has (PROTOCOL.md, service discovery), and says that one without them, or with another type of them, names no target to use. It gets 400 now; further fields are ignored as before. A cold time may be any number, a start is a whole one.

--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Protocol
 from urllib.parse import unquote
 
 import msgspec
@@ -37,17 +37,23 @@
 
 
 class Heartbeat(msgspec.Struct):
-    """Body of a target's heartbeat."""
+    """Body of a target's heartbeat.
+
+    A body that lacks a field is not from a target, so fields that are not used are required too.
+    """
 
     service: str
     address: str
+    zone: str
+    version: str
+    """Version of the target's software."""
     slots: int
     state: str
+    cold_ms: int | float
+    """How much longer the target stays cold."""
     sequence: int
-    born: int = 0
+    born: int
     """Start time of the target in Unix milliseconds; distinguishes two processes with one id."""
-    cold_ms: Any = None
-    """How much longer the target stays cold; of any type, so that none makes it malformed."""
 
 
 class LeaveNotice(msgspec.Struct):
@@ -179,10 +185,9 @@
         return 0
 
 
-def _known_cold_ms(value: Any) -> int:
-    """Return the cold time in a heartbeat in ms; -1 if it is missing or malformed."""
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 <= value < math.inf:
+def _known_cold_ms(value: float) -> int:
+    """Return the cold time in a heartbeat in ms; -1 if it is negative or infinite."""
+    if not 0 <= value < math.inf:
         return -1
     return min(math.ceil(value), MAX_COLD_MS)
 
