Use no heartbeat of a service or address other than the settings name

Cause: the service and the address of a heartbeat were taken over unchecked, although the settings name both for the local target. The handler of heartbeats compares them now, with the settings as they are at that moment (a reload changes them), and answers 400 where they differ. An empty setting, as on the native interface, allows any.

Evidence: six rows of the two new outlines of announcements.feature fail on the code before (35 passed, 6 failed).

--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -357,6 +357,14 @@
         """Return whether the node serves requests: it has a configuration and is not stopping."""
         return self.state.name == "serving" and self.config_sync.rule_book is not None
 
+    def names_local_upstream(self, announcement: Announcement) -> bool:
+        """Return whether an announcement has the service and address that the settings define."""
+        upstream = self.settings.upstream
+        endpoint = (announcement.address, announcement.port)
+        return (not upstream.service or announcement.service == upstream.service) and (
+            split_address(upstream.address, *endpoint) == endpoint
+        )
+
     async def announcement_received(self, announcement: Announcement) -> bool:
         """Handle an announcement: the upstream serves, or accepts no new calls.
 
--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -64,16 +64,22 @@
 
 
 class HeartbeatListener(Protocol):
-    """Receiver of the local target's announcements and leave notices.
+    """Receiver of the local target's announcements and leave notices."""
 
-    Both methods return whether the message may be acknowledged.
-    """
+    def names_local_upstream(self, announcement: Announcement) -> bool:
+        """Return whether an announcement has the local target's service and address."""
 
     async def announcement_received(self, announcement: Announcement) -> bool:
-        """Handle an announcement: the target serves, or takes no new calls."""
+        """Handle an announcement: the target serves, or takes no new calls.
+
+        Return whether it may be acknowledged.
+        """
 
     async def leave_notice_received(self, instance: str, born_ms: int) -> bool:
-        """Handle a leave notice: the target process takes no new calls."""
+        """Handle a leave notice: the target process takes no new calls.
+
+        Return whether it may be acknowledged.
+        """
 
 
 class HeartbeatError(Exception):
@@ -151,6 +157,16 @@
             log.warning("heartbeat_malformed", instance=instance, reason=str(error))
             _respond(exchange, 400)
             return
+        if not self._listener.names_local_upstream(announcement):
+            log.warning(
+                "heartbeat_of_other_target",
+                instance=instance,
+                service=announcement.service,
+                address=announcement.address,
+                port=announcement.port,
+            )
+            _respond(exchange, 400)
+            return
         may_acknowledge = await self._listener.announcement_received(announcement)
         _respond(exchange, 200 if may_acknowledge else 503)
 
--- a/foxtailproxy/tests/announcements.feature
+++ b/foxtailproxy/tests/announcements.feature
@@ -89,6 +89,34 @@
       | a 100 1 | it leaves without telling its start |
       | a 0     | it is announced as a 100 2 leaving  |
 
+  # Guards against a heartbeat of another writer, after which bookings ran at a target of another service.
+  Scenario Outline: A heartbeat of <service> at <address> reaches a node whose settings name <upstream>
+    Given a node whose settings name <upstream> as its upstream, found by a health check
+    When it gets a heartbeat of process a, which serves <service> at <address>
+    Then it answers <status>, and its upstream serves <used>
+
+    Examples:
+      | upstream                  | service    | address      | status | used                       |
+      | kalender at 127.0.0.1:80  | kalender   | 127.0.0.1:80 | 200    | kalender at 127.0.0.1:80   |
+      | kalender at 127.0.0.1:80  | broneering | 127.0.0.1:80 | 400    | kalender at 127.0.0.1:80   |
+      | kalender at 127.0.0.1:80  | kalender   | 127.0.0.1:81 | 400    | kalender at 127.0.0.1:80   |
+      | kalender at 127.0.0.1:80  | kalender   | 127.0.0.2:80 | 400    | kalender at 127.0.0.1:80   |
+      | kalender at any address   | kalender   | 127.0.0.2:81 | 200    | kalender at 127.0.0.2:81   |
+      | kalender at any address   | broneering | 127.0.0.1:80 | 400    | kalender at 127.0.0.1:80   |
+      | any service at 127.0.0.1:80 | broneering | 127.0.0.1:80 | 200  | broneering at 127.0.0.1:80 |
+      | any service at 127.0.0.1:80 | broneering | 127.0.0.1:81 | 400  | kalender at 127.0.0.1:80   |
+
+  Scenario Outline: The settings of a node change to <upstream>, and a heartbeat names <service>
+    Given a node whose settings name kalender at 127.0.0.1:80 as its upstream, found by a health check
+    When its settings name <upstream> as its upstream
+    And it gets a heartbeat of process b, which serves <service> at 127.0.0.1:80
+    Then it answers <status>, and its upstream serves <used>
+
+    Examples:
+      | upstream                   | service    | status | used                       |
+      | broneering at 127.0.0.1:80 | broneering | 200    | broneering at 127.0.0.1:80 |
+      | broneering at 127.0.0.1:80 | kalender   | 400    | kalender at 127.0.0.1:80   |
+
   Scenario Outline: Retries of <nodes> nodes that share a slack of <slack> per 10 s
     Given <nodes> nodes that share a retry ratio of <percent> percent and a slack of <slack>
     When each has <calls> calls in 10 s and requests a retry every 200 ms
