Acknowledge no leaving that isn't heeded

Cause: an announcement that counts as older than the current one, by its start or its sequence, was dropped before its leaving was looked at, and acknowledged. The same held for a leave notice that names an earlier start than the current one, and for the leaving of a target whose service the configuration in force lacks. A leaving is recorded for its own process now, whatever its order; where that is the current process, its calls end. Where a process of the same name that started later is in use, it is answered with 503: calls are addressed to a process by its name, so that the one that leaves may still get them, and the later one, which may be sound, isn't kept out by a late message. leaving_not_acknowledged has the cause.

A foreign heartbeat that is complete and differs only in its start still makes those of the target count as late.

--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -370,6 +370,9 @@
 
         Return whether it may be acknowledged.
         """
+        if announcement.leaving:
+            self.target.receive_announcement(announcement)
+            return await self._may_acknowledge_leaving(announcement.instance)
         rule_book = self.config_sync.rule_book
         if rule_book is not None and announcement.service not in rule_book.service_by_name:
             log.warning(
@@ -379,9 +382,6 @@
                 config=self.config_sync.version()[0],
             )
             return True
-        if announcement.leaving:
-            self.target.receive_announcement(announcement)
-            return await self._is_leaving_saved()
         if self.state.name == "serving":
             self.first_announcement.receive(announcement)
         return True
@@ -392,6 +392,13 @@
         Return whether it may be acknowledged.
         """
         self.target.record_left_process(instance, born_ms)
+        return await self._may_acknowledge_leaving(instance)
+
+    async def _may_acknowledge_leaving(self, instance: str) -> bool:
+        """Return whether the leaving of an upstream process is in effect, and stored."""
+        if self.target.uses_instance(instance):
+            log.warning("leaving_not_acknowledged", instance=instance, cause="newer-process")
+            return False
         return await self._is_leaving_saved()
 
     async def _is_leaving_saved(self) -> bool:
@@ -403,7 +410,9 @@
         try:
             await saved.addTimeout(MAX_LEAVING_SAVE_MS / MS_PER_SECOND, self.clock.source)
         except TimeoutError:
-            log.warning("leaving_not_acknowledged", waited_ms=MAX_LEAVING_SAVE_MS)
+            log.warning(
+                "leaving_not_acknowledged", cause="not-stored", waited_ms=MAX_LEAVING_SAVE_MS
+            )
             return False
         return True
 
--- a/foxtailproxy/target.py
+++ b/foxtailproxy/target.py
@@ -154,6 +154,8 @@
                 born_ms=announcement.born_ms,
                 sequence=announcement.sequence,
             )
+            if announcement.leaving:
+                self.record_left_process(announcement.instance, announcement.born_ms)
             return
         current = self.announcement
         if current is None or not same_process(current, announcement):
@@ -294,6 +296,15 @@
         process = self.process
         return process is not None and self._left_processes.contains(process)
 
+    def uses_instance(self, instance: str) -> bool:
+        """Return whether the current process has this name and has not left.
+
+        The process that runs is told by its name alone: calls for the current process are also run
+        by an earlier one of the name.
+        """
+        current = self.announcement
+        return current is not None and current.instance == instance and not self.process_has_left
+
     @property
     def serving(self) -> bool:
         """Whether new calls may run."""
--- a/foxtailproxy/tests/announcements.feature
+++ b/foxtailproxy/tests/announcements.feature
@@ -117,6 +117,41 @@
       | broneering at 127.0.0.1:80 | broneering | 200    | broneering at 127.0.0.1:80 |
       | broneering at 127.0.0.1:80 | kalender   | 400    | kalender at 127.0.0.1:80   |
 
+  # Guards against a leaving that is acknowledged and forgotten, as it counts as older than the current announcement.
+  Scenario Outline: A node whose target is known as <first> gets the <message>
+    Given a node on the platform whose target was announced as <first>
+    When it gets the <message>
+    Then it answers <status>, and the target is <state> with process <process>
+    And the process <left> counts as left
+
+    Examples:
+      | first           | message                   | status | state   | process | left  |
+      | a 100 5         | heartbeat a 100 6 leaving | 200    | leaving | a 100   | a 100 |
+      | a 100 5         | heartbeat a 100 4 leaving | 200    | leaving | a 100   | a 100 |
+      | a 100 5 leaving | heartbeat a 100 4 leaving | 200    | leaving | a 100   | a 100 |
+      | a 100 5         | heartbeat a 200 1 leaving | 200    | leaving | a 200   | a 200 |
+      | a 200 1         | heartbeat a 100 9 leaving | 503    | serving | a 200   | a 100 |
+      | a 200 1 leaving | heartbeat a 100 9 leaving | 200    | leaving | a 200   | a 100 |
+      | b 200 1         | heartbeat a 100 9 leaving | 200    | serving | b 200   | a 100 |
+      | a 100 5         | leave notice a            | 200    | leaving | a 100   | a 100 |
+      | a 100 5         | leave notice a 100        | 200    | leaving | a 100   | a 100 |
+      | a 200 1         | leave notice a 100        | 503    | serving | a 200   | a 100 |
+      | a 200 1 leaving | leave notice a 100        | 200    | leaving | a 200   | a 100 |
+      | b 200 1         | leave notice a 100        | 200    | serving | b 200   | a 100 |
+
+  # Guards against the same where a configuration has the service again later.
+  Scenario Outline: A node whose configuration lacks the service of its target gets the heartbeat <heartbeat>
+    Given a node on the platform whose target was announced as a 100 5
+    And the node has a configuration without the target's service
+    When it gets the heartbeat <heartbeat>
+    Then it answers 200, and the target is <state> with process a 100
+
+    Examples:
+      | heartbeat       | state   |
+      | a 100 6         | serving |
+      | a 100 6 leaving | leaving |
+      | b 200 1         | serving |
+
   Scenario Outline: Retries of <nodes> nodes that share a slack of <slack> per 10 s
     Given <nodes> nodes that share a retry ratio of <percent> percent and a slack of <slack>
     When each has <calls> calls in 10 s and requests a retry every 200 ms
--- a/foxtailproxy/tests/steps/heartbeats.py
+++ b/foxtailproxy/tests/steps/heartbeats.py
@@ -9,12 +9,18 @@
 from twisted.internet.defer import ensureDeferred, succeed
 from twisted.internet.testing import MemoryReactorClock
 
+from foxtailproxy.config.rules import RuleBook
 from foxtailproxy.config.settings import parse_settings
 from foxtailproxy.http.body import BodyStream
 from foxtailproxy.http.messages import RequestHead
 from foxtailproxy.models.messages import Announcement
 from foxtailproxy.node import Node
+from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.platform.instances import ControlHandler
+from foxtailproxy.tests.steps.announcements import parse_announcement, step_target_state
+from standins.platform_configs import config_text
+
+UPSTREAM_ADDRESS = "127.0.0.1:80"
 
 NODE_SETTINGS = """
 [node]
@@ -106,3 +112,38 @@
     assert context.status == status, context.status
     actual = f"{announcement.service} at {announcement.address}:{announcement.port}"
     assert actual == used, actual
+
+
+@given("a node on the platform whose target was announced as {text}")
+def step_node_with_target(context: Any, text: str) -> None:
+    step_node(context, f"kalender at {UPSTREAM_ADDRESS}")
+    context.node.target.receive_announcement(parse_announcement(text))
+
+
+@given("the node has a configuration without the target's service")
+def step_other_config(context: Any) -> None:
+    config = config_text().replace('"kalender"', '"almanac"')
+    rule_book = RuleBook(PlatformConfigSource().parse(config, "test"))
+    assert "kalender" not in rule_book.service_by_name
+    context.node.config_sync.rule_book = rule_book
+
+
+@when("it gets the heartbeat {text}")
+def step_heartbeat_of_process(context: Any, text: str) -> None:
+    words = text.split()
+    body = heartbeat(words, "kalender", UPSTREAM_ADDRESS)
+    context.status = control_request(context.node, b"PUT", words[0], body)
+
+
+@when("it gets the leave notice {text}")
+def step_leave_notice(context: Any, text: str) -> None:
+    instance, *born = text.split()
+    body = {"born": int(born[0])} if born else None
+    context.status = control_request(context.node, b"DELETE", instance, body)
+
+
+@then("it answers {status:d}, and the target is {state} with process {process}")
+def step_node_target(context: Any, status: int, state: str, process: str) -> None:
+    assert context.status == status, context.status
+    context.target = context.node.target
+    step_target_state(context, state, process)
