--- a/foxtailproxy/platform/instances.py
+++ b/foxtailproxy/platform/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Protocol
 from urllib.parse import unquote
 
 import msgspec
@@ -37,17 +37,23 @@
 
 
 class Heartbeat(msgspec.Struct):
-    """Body of a target's heartbeat."""
+    """Body of a target's heartbeat.
+
+    A body that lacks a field is not from a target, so fields that are not used are required too.
+    """
 
     service: str
     address: str
+    zone: str
+    version: str
+    """Version of the target's software."""
     slots: int
     state: str
+    cold_ms: int | float
+    """How much longer the target stays cold."""
     sequence: int
-    born: int = 0
+    born: int
     """Start time of the target in Unix milliseconds; distinguishes two processes with one id."""
-    cold_ms: Any = None
-    """How much longer the target stays cold; of any type, so that none makes it malformed."""
 
 
 class LeaveNotice(msgspec.Struct):
@@ -58,16 +64,22 @@
 
 
 class HeartbeatListener(Protocol):
-    """Receiver of the local target's announcements and leave notices.
+    """Receiver of the local target's announcements and leave notices."""
 
-    Both methods return whether the message may be acknowledged.
-    """
+    def names_local_upstream(self, announcement: Announcement) -> bool:
+        """Return whether an announcement has the local target's service and address."""
 
     async def announcement_received(self, announcement: Announcement) -> bool:
-        """Handle an announcement: the target serves, or takes no new calls."""
+        """Handle an announcement: the target serves, or takes no new calls.
+
+        Return whether it may be acknowledged.
+        """
 
     async def leave_notice_received(self, instance: str, born_ms: int) -> bool:
-        """Handle a leave notice: the target process takes no new calls."""
+        """Handle a leave notice: the target process takes no new calls.
+
+        Return whether it may be acknowledged.
+        """
 
 
 class HeartbeatError(Exception):
@@ -145,6 +157,16 @@
             log.warning("heartbeat_malformed", instance=instance, reason=str(error))
             _respond(exchange, 400)
             return
+        if not self._listener.names_local_upstream(announcement):
+            log.warning(
+                "heartbeat_of_other_target",
+                instance=instance,
+                service=announcement.service,
+                address=announcement.address,
+                port=announcement.port,
+            )
+            _respond(exchange, 400)
+            return
         may_acknowledge = await self._listener.announcement_received(announcement)
         _respond(exchange, 200 if may_acknowledge else 503)
 
@@ -179,10 +201,9 @@
         return 0
 
 
-def _known_cold_ms(value: Any) -> int:
-    """Return the cold time in a heartbeat in ms; -1 if it is missing or malformed."""
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 <= value < math.inf:
+def _known_cold_ms(value: float) -> int:
+    """Return the cold time in a heartbeat in ms; -1 if it is negative or infinite."""
+    if not 0 <= value < math.inf:
         return -1
     return min(math.ceil(value), MAX_COLD_MS)
 
