Send no body in response to a HEAD request that is rejected in its head

A client that sent an invalid HEAD request read a body behind the rejection, which a response to HEAD does not have: bytes that belong to no response, on a connection that is closed behind them.

Cause: a request that is rejected before its head is complete and valid counted as one without a method. The method is used now as soon as it is known, which it is once a part of the target has been read.

--- a/foxtailproxy/http/server.py
+++ b/foxtailproxy/http/server.py
@@ -49,9 +49,6 @@
 """Time for which a connection is read after its last response, unless the client closes it sooner,
 in milliseconds."""
 
-INCOMPLETE_HEAD = messages.RequestHead(b"", b"", [])
-"""Head of a request that was rejected before its own head was complete and valid."""
-
 
 @dataclass(slots=True)
 class ServerLimits:
@@ -328,12 +325,12 @@
             self._parser.get_method(), self._url, self._headers, self._parser.get_http_version()
         )
         length = self._check_head(head)
-        self._headers, self._url = [], b""
         exchange = ServerExchange(self, head)
         exchange.number = self.request_count
         self.request_count += 1
         if exchange.held_bytes > self.limits.request_memory_bytes:
             raise RequestRejected(431, "header-too-large")
+        self._headers, self._url = [], b""
         exchange.unread_ms = ms_since_last_arrival(self.transport)
         exchange.keep_alive = self._parser.should_keep_alive()
         exchange.expects_continue = (
@@ -457,7 +454,7 @@
         )
         exchange = self._receiving
         if exchange is None:
-            exchange = ServerExchange(self, INCOMPLETE_HEAD)
+            exchange = ServerExchange(self, self._incomplete_head())
             self._exchanges.append(exchange)
         elif exchange.response_started:
             # A second response to the same request would be taken for that to another one.
@@ -465,6 +462,14 @@
             return
         exchange.reject(status, reason)
 
+    def _incomplete_head(self) -> messages.RequestHead:
+        """Return the head of a request that is rejected before its head is complete and valid.
+
+        It has the method, where that is known: a response to HEAD has no body.
+        """
+        is_method_known = self._in_head and self._url
+        return messages.RequestHead(self._parser.get_method() if is_method_known else b"", b"", [])
+
     def _count_earlier(self) -> int:
         return sum(exchange is not self._receiving for exchange in self._exchanges)
 
--- a/foxtailproxy/tests/http_session.feature
+++ b/foxtailproxy/tests/http_session.feature
@@ -209,3 +209,22 @@
       | GET    | 304    | no length | none              |
       | GET    | 204    | 5 bytes   | none              |
       | POST   | 204    | no length | none              |
+
+  # Guards against a body, which a response to HEAD does not have.
+  Scenario Outline: A HEAD request that is rejected because of <fault>
+    Given a connection with a request that runs, and a HEAD request with <fault> behind it
+    When the running request is answered after <ms> ms
+    Then the client reads the statuses <statuses> and the connection closes
+    And the rejection has no body
+
+    Examples:
+      | fault                             | ms   | statuses |
+      | a head that stops half-way        | 1500 | 200 408  |
+      | a head that is too large          | 1    | 200 431  |
+      | too many headers                  | 1    | 200 431  |
+      | a head that takes too much memory | 1    | 200 431  |
+      | a header without a name           | 1    | 200 400  |
+      | no host                           | 1    | 200 400  |
+      | a body that is too large          | 1    | 200 413  |
+      | a protocol to change to           | 1    | 200 501  |
+      | a chunk of no size                | 1    | 200 400  |
--- a/foxtailproxy/tests/server_fuzz.feature
+++ b/foxtailproxy/tests/server_fuzz.feature
@@ -25,6 +25,7 @@
       | 89   | a last response that is lost, since the next request is malformed  |
       | 4549 | a part of a response to a client of HTTP/1.0 that half-closes      |
       | 299  | the same, whose node stops                                         |
+      | 40   | a body behind the rejection of a HEAD request                      |
 
   # Guards against a generator that leaves out what the histories are for.
   Scenario: The histories hold all kinds of requests, responses and clients
--- a/foxtailproxy/tests/server_fuzz.py
+++ b/foxtailproxy/tests/server_fuzz.py
@@ -160,6 +160,10 @@
         plan = Plan(number, invalid=True, waits_for_body=random.random() < 0.8)
         plan.sent = [random.choice(list(INVALID_REQUESTS.values()))]
         self._plan_response(plan)
+        if number % 2:
+            plan.sent[0] = re.sub(rb"^(GET|PUT) ", b"HEAD ", plan.sent[0])
+        if plan.sent[0].startswith(b"HEAD"):
+            plan.method = b"HEAD"
         return plan
 
 
--- a/foxtailproxy/tests/steps/http_session.py
+++ b/foxtailproxy/tests/steps/http_session.py
@@ -19,6 +19,7 @@
 from foxtailproxy.http.body import BodyStream, DiscardSink
 from foxtailproxy.http.errors import BodyTruncated
 from foxtailproxy.http.exchange import ServerExchange
+from foxtailproxy.http.memory import EXCHANGE_BYTES
 from foxtailproxy.http.messages import ResponseHead
 from foxtailproxy.http.server import PIPELINE_LIMIT, ServerFactory, ServerLimits
 from foxtailproxy.tests.fakes import advance, fake_clock
@@ -122,6 +123,40 @@
     assert context.transport.close_kind == "closed", context.transport.close_kind
 
 
+INVALID_HEAD_REQUESTS = {
+    "a head that stops half-way": b"Host: kal",
+    "a head that is too large": HOST_HEADER + b"X-Long: " + b"x" * 600,
+    "too many headers": HOST_HEADER + b"A:\r\n" * 12 + b"\r\n",
+    "a head that takes too much memory": HOST_HEADER + b"X-Long: " + b"x" * 400 + b"\r\n\r\n",
+    "a header without a name": b":\r\n\r\n",
+    "no host": b"\r\n",
+    "a body that is too large": HOST_HEADER + b"Content-Length: 65\r\n\r\n",
+    "a protocol to change to": HOST_HEADER + b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+    "a chunk of no size": HOST_HEADER + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+}
+
+
+@given("a connection with a request that runs, and a HEAD request with {fault} behind it")
+def step_invalid_head_request_behind(context: Any, fault: str) -> None:
+    context.clock = fake_clock()
+    context.served = {}
+
+    async def handle(exchange: ServerExchange) -> None:
+        context.served[exchange.head.target] = exchange
+
+    memory_bytes = EXCHANGE_BYTES + 700 if "memory" in fault else SERVER_LIMITS.request_memory_bytes
+    limits = replace(SERVER_LIMITS, header_lines=10, request_memory_bytes=memory_bytes)
+    _open_connection(context, handle, limits)
+    context.connection.dataReceived(b"POST /booking HTTP/1.1\r\n%s\r\n" % HOST_HEADER)
+    context.connection.dataReceived(b"HEAD / HTTP/1.1\r\n" + INVALID_HEAD_REQUESTS[fault])
+
+
+@then("the rejection has no body")
+def step_no_body(context: Any) -> None:
+    received = context.transport.value()
+    assert received.endswith(b"\r\nconnection: close\r\n\r\n"), received
+
+
 @given("a connection with a request that runs, and {fault} behind it")
 def step_invalid_request_behind(context: Any, fault: str) -> None:
     context.clock = fake_clock()
