Count a datagram that cannot be sent as lost

Cause: the transport raises for an address that is none, one of the other family, a network without a route and a datagram that is too long. Nothing caught the error between GossipSocket._write and the timers. A datagram that cannot be sent now counts as one that was lost on the way. So the member is suspected, declared dead and left out as others are; the error is logged at most once a second, with the number of datagrams since.

--- a/foxtailproxy/gossip_socket.py
+++ b/foxtailproxy/gossip_socket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections import Counter
 from dataclasses import dataclass
@@ -10,6 +11,7 @@
 import msgspec
 import structlog
 from msgspec.structs import replace
+from twisted.internet.error import MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 
 from foxtailproxy.customers.allowance_exchange import ALLOWANCE_MARKS
@@ -45,6 +47,9 @@
 
 DETECTION_KINDS = frozenset((PacketKind.ping, PacketKind.ack, PacketKind.ping_request))
 
+UNSENT_LOG_INTERVAL_MS = 1000
+"""Shortest interval between two log lines on datagrams that could not be sent."""
+
 SKIPPED_LOG_INTERVAL_MS = 1000
 """Shortest interval between two log lines on packets that the budgets did not allow."""
 
@@ -139,6 +144,8 @@
         self._sequence = 0
         self._skipped_unlogged: Counter[PacketKind] = Counter()
         self._skipped_logged_ms = clock.now_ms()
+        self._unsent_unlogged = 0
+        self._unsent_logged_ms = -math.inf
         self._decoder = msgspec.msgpack.Decoder(ExtendedPacket)
         self._encoder = msgspec.msgpack.Encoder()
 
@@ -221,12 +228,17 @@
         return True
 
     def _write(self, data: bytes, address: Address, paid: bool) -> None:
+        """Send a datagram; one that cannot be sent counts as lost on the way."""
+        try:
+            self.transport.write(data, address)
+        except (OSError, ValueError, MessageLengthError) as error:
+            self._record_unsent(address, error)
+            return
         size = len(data) + PACKET_OVERHEAD_BYTES
         self.counters.sent_packets += 1
         self.counters.sent_bytes += size
         if paid:
             self.counters.paid_sent_bytes += size
-        self.transport.write(data, address)
 
     def _budgets(self, paid: bool) -> list[TrafficBudget]:
         return [self.paid_budget, self.budget] if paid else [self.budget]
@@ -245,6 +257,22 @@
             purpose = Purpose.paid_digest
         return all(budget.try_consume(purpose, size) for budget in budgets)
 
+    def _record_unsent(self, address: Address, error: Exception) -> None:
+        """Log at intervals that datagrams could not be sent, with the latest error."""
+        self._unsent_unlogged += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._unsent_logged_ms < UNSENT_LOG_INTERVAL_MS:
+            return
+        log.warning(
+            "datagram_not_sent",
+            address=address[0],
+            port=address[1],
+            error=repr(error),
+            count=self._unsent_unlogged,
+        )
+        self._unsent_unlogged = 0
+        self._unsent_logged_ms = now_ms
+
     def _record_skipped(self, kind: PacketKind) -> None:
         """Count a packet that was not sent, and log the counts by kind at intervals."""
         self.counters.skipped_packets += 1
--- a/foxtailproxy/tests/gossip_fakes.py
+++ b/foxtailproxy/tests/gossip_fakes.py
@@ -53,7 +53,7 @@
 
 
 class FakeNetwork:
-    """In-memory datagram network; delivers by address.
+    """In-memory datagram network; delivers by address. `error_by_address` holds errors of sending.
 
     `sent_bytes` counts the bytes sent in each second, by node id and whether all datagrams or only
     those to another region, whose traffic is paid, are counted.
@@ -65,12 +65,15 @@
         self.node_by_address: dict[str, GossipNode] = {}
         self.partitioned = False
         self.loss_rate = 0.0
+        self.error_by_address: dict[str, Exception] = {}
         self.sent_bytes: dict[tuple[str, bool], dict[int, int]] = defaultdict(
             lambda: defaultdict(int)
         )
 
     def send(self, sender: GossipNode, data: bytes, address: tuple[str, int]) -> None:
         """Deliver a datagram after the delay of its link, unless it is lost."""
+        if address[0] in self.error_by_address:
+            raise self.error_by_address[address[0]]
         receiver = self.node_by_address.get(address[0])
         cross_region = receiver is not None and receiver.record.region != sender.record.region
         second = int(self.clock.now_ms() // MS_PER_SECOND)
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -190,6 +190,20 @@
       | 195   | 4000   |
       | 300   | 6000   |
 
+  # Guards against pings, comparisons and pushes that end at the first peer to which sending fails.
+  Scenario Outline: Sending to a member fails with <error>, and all others still hear of changes
+    Given 4 nodes in 2 regions that know each other
+    When a member joins each data centre to which sending fails with <error>
+    And one node adopts a new configuration
+    Then all nodes have it within 3000 ms
+    And these members are seen as dead within 20000 ms, with at most one log line a second of each node
+
+    Examples:
+      | error                  |
+      | an invalid address     |
+      | an unreachable network |
+      | an oversized datagram  |
+
   Scenario: A damaged or oversized compressed packet is dropped and the node goes on
     Given 4 nodes in 2 regions that know each other
     When a node receives damaged, cut and oversized compressed packets
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import random
 import zlib
@@ -11,6 +12,7 @@
 import msgspec
 from behave import given, then, when
 from msgspec.structs import replace
+from twisted.internet.error import InvalidAddressError, MessageLengthError
 
 from foxtailproxy.gossip_socket import MAX_PACKET_BYTES
 from foxtailproxy.models.messages import CrashReport, GossipPacket, MemberState, PacketKind
@@ -35,6 +37,13 @@
 COARSE_STEP_MS = 50.0
 WINDOW_S = 10
 
+UNSENDABLE_ADDRESS = "10.9.9.9"
+SEND_ERRORS = {
+    "an invalid address": InvalidAddressError(UNSENDABLE_ADDRESS, "not an IP address"),
+    "an unreachable network": OSError(errno.ENETUNREACH, "Network is unreachable"),
+    "an oversized datagram": MessageLengthError("message too long"),
+}
+
 
 @given("{count:d} nodes in 2 regions that know each other")
 def step_start_nodes(context: Any, count: int) -> None:
@@ -102,6 +111,36 @@
         assert sent_bytes <= budget[paid] * WINDOW_S, f"{node_id} paid={paid}: {sent_bytes} bytes"
 
 
+@when("a member joins each data centre to which sending fails with {error}")
+def step_unsendable_members(context: Any, error: str) -> None:
+    context.wire.error_by_address[UNSENDABLE_ADDRESS] = SEND_ERRORS[error]
+    data_centers = {node.record.data_center: node.record.region for node in context.nodes.values()}
+    context.unsendable_ids = []
+    for data_center, region in data_centers.items():
+        fields = {"region": region, "data_center": data_center, "address": UNSENDABLE_ADDRESS}
+        member = make_member(f"z-{data_center}", **fields)
+        context.unsendable_ids.append(member.node_id)
+        for node in context.nodes.values():
+            node.table.merge(member)
+
+
+@then(
+    "these members are seen as dead within {within:d} ms, with at most one log line a second of"
+    " each node"
+)
+def step_unsendable_dead(context: Any, within: int) -> None:
+    with captured_log() as entries:
+        advance(context.clock, within, STEP_MS)
+    states = {
+        (node_id, unsendable_id): node.table.by_id[unsendable_id].state
+        for node_id, node in context.nodes.items()
+        for unsendable_id in context.unsendable_ids
+    }
+    assert set(states.values()) == {MemberState.dead}, states
+    lines = [entry for entry in entries if entry["event"] == "datagram_not_sent"]
+    assert 0 < len(lines) <= len(context.nodes) * within / 1000, len(lines)
+
+
 @when("a node receives damaged, cut and oversized compressed packets")
 def step_receive_bad_packets(context: Any) -> None:
     whole = zlib.compress(bytes(1000))
