Keep a timer running after an error in its work

Cause: LoopingCall ends at the first error and gives it to a deferred that nobody reads; a WorkTimer did not wake again. Both log the error as timer_failed now, with its traceback, and go on. A work timer goes on as well, since an error says nothing about the work that is left.

--- a/foxtailproxy/clock.py
+++ b/foxtailproxy/clock.py
@@ -5,12 +5,16 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
+import structlog
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+log = structlog.get_logger()
+
 MS_PER_SECOND = 1000.0
 
 AWAKE_MS = 100.0
@@ -65,8 +69,15 @@
         return done
 
     def repeat(self, interval_ms: float, function: Callable[[], Any]) -> LoopingCall:
-        """Call `function` every `interval_ms` until the returned loop is stopped."""
-        loop = LoopingCall(function)
+        """Call `function` every `interval_ms` until the returned loop is stopped.
+
+        An error is logged and does not end the repetition.
+        """
+
+        def call() -> Deferred[Any]:
+            return maybeDeferred(function).addErrback(_log_failure, function)
+
+        loop = LoopingCall(call)
         loop.clock = self.source
         loop.start(interval_ms / MS_PER_SECOND, now=False)
         return loop
@@ -76,7 +87,7 @@
     """A timer that calls `work` every `interval_ms` while there is work to do.
 
     `wake` starts it, and it stops when `work` returns that there is no more to do. A stopped timer
-    costs nothing.
+    costs nothing. After an error there may be work left, so the timer goes on.
     """
 
     def __init__(self, clock: Clock, interval_ms: float, work: Callable[[], bool]) -> None:
@@ -99,10 +110,24 @@
 
     def _run(self) -> None:
         self._timer = None
-        if self._work():
+        try:
+            has_more_work = self._work()
+        except Exception:
+            _log_failure(Failure(), self._work)
+            has_more_work = True
+        if has_more_work:
             self.wake()
 
 
+def _log_failure(failure: Failure, function: Callable[[], Any]) -> None:
+    log.error(
+        "timer_failed",
+        function=getattr(function, "__qualname__", repr(function)),
+        error=repr(failure.value),
+        traceback=failure.getTraceback(),
+    )
+
+
 def cancel_timer(timer: Timer | None) -> None:
     """Cancel `timer` if it is still pending."""
     if timer is not None and timer.active():
--- a/foxtailproxy/tests/process.feature
+++ b/foxtailproxy/tests/process.feature
@@ -43,6 +43,19 @@
     When a timer of 30 s is scheduled
     Then it is due by the time since the instance booted, whatever the time of day
 
+  # Guards against a timer that stops for good at the first error.
+  Scenario Outline: A <timer> whose work fails <how> logs it and works again
+    Given a <timer> every 100 ms whose work fails <how> twice
+    When the timer has run for 1050 ms
+    Then the work was done 10 times, and 2 errors were logged
+    And it is not done any more once the timer is stopped
+
+    Examples:
+      | timer         | how     |
+      | periodic call | at once |
+      | periodic call | later   |
+      | work timer    | at once |
+
   Scenario: Logging to an unread pipe does not block and drops only lines beyond the buffer
     Given a log stream into a pipe that is not read
     When 20000 lines are logged
--- a/foxtailproxy/tests/steps/process.py
+++ b/foxtailproxy/tests/steps/process.py
@@ -14,13 +14,14 @@
 
 import structlog
 from behave import given, then, when
+from twisted.internet.defer import fail
 from twisted.internet.epollreactor import EPollReactor
 
-from foxtailproxy.clock import use_monotonic_time
+from foxtailproxy.clock import WorkTimer, use_monotonic_time
 from foxtailproxy.config.settings import parse_settings
 from foxtailproxy.logs import EventSampler, LogStream
 from foxtailproxy.settings_watch import SettingsWatch
-from foxtailproxy.tests.fakes import advance, fake_clock
+from foxtailproxy.tests.fakes import advance, captured_log, fake_clock
 from standins.fleet import ADDRESS, free_ports
 
 VALID_SETTINGS_PATH = Path(__file__).parents[1] / "data" / "node-valid.ini"
@@ -28,6 +29,7 @@
 
 TIMER_TOLERANCE_S = 1.0
 SIGNAL_WAIT_S = 0.3
+FAILURES = 2
 
 SLOW_IMPORT_PROGRAM = """
 import sys, time, types
@@ -178,6 +180,48 @@
     assert still_running, context.process.returncode
 
 
+@given("a {timer} every {interval:d} ms whose work fails {how} twice")
+def step_start_failing_timer(context: Any, timer: str, interval: int, how: str) -> None:
+    context.clock = fake_clock()
+    context.work_count = 0
+
+    def work() -> Any:
+        context.work_count += 1
+        if context.work_count > FAILURES:
+            return True
+        if how == "later":
+            return fail(OSError("broken"))
+        raise OSError("broken")
+
+    if timer == "work timer":
+        work_timer = WorkTimer(context.clock, interval, work)
+        work_timer.wake()
+        context.stop_timer = work_timer.close
+    else:
+        context.stop_timer = context.clock.repeat(interval, work).stop
+
+
+@when("the timer has run for {ms:d} ms")
+def step_pass_time(context: Any, ms: int) -> None:
+    with captured_log() as context.entries:
+        advance(context.clock, ms)
+
+
+@then("the work was done {count:d} times, and {errors:d} errors were logged")
+def step_check_work(context: Any, count: int, errors: int) -> None:
+    assert context.work_count == count, context.work_count
+    events = [entry["event"] for entry in context.entries]
+    assert events == errors * ["timer_failed"], context.entries
+
+
+@then("it is not done any more once the timer is stopped")
+def step_check_timer_stopped(context: Any) -> None:
+    done = context.work_count
+    context.stop_timer()
+    advance(context.clock, 1000)
+    assert context.work_count == done
+
+
 @given("a log stream into a pipe that is not read")
 def step_open_unread_pipe(context: Any) -> None:
     context.read_end, write_end = os.pipe()
