Let a stop come to its end whatever one part raises

Cause: Node._close closed the parts one after another, and the first error ended it before lifecycle.drained, which stops the reactor. The same holds for an error in Node.drain, which scheduled the close last, and for one of the settings watch, whose close preceded the stop of the reactor in one chain of callbacks. The error of each part is logged as close_failed now, with its traceback, and the others are closed.

Evidence: nine rows of process.feature, each a real process in which one part raises, fail on the code before: it runs on for the 5 s that the step waits.

--- a/foxtailproxy/commands/node.py
+++ b/foxtailproxy/commands/node.py
@@ -36,6 +36,7 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    from foxtailproxy.lifecycle import log_close_failure
     from foxtailproxy.node import Node
     from foxtailproxy.settings_watch import SettingsWatch
 
@@ -60,6 +61,7 @@
         twisted_reactor.callFromThread(settings_watch.check)
 
     node.state.closed.addCallback(lambda _: settings_watch.close())
+    node.state.closed.addErrback(log_close_failure, settings_watch.close)
     node.state.closed.addCallback(lambda _: twisted_reactor.stop())
     signal.signal(signal.SIGHUP, handle_reload_signal)
     twisted_reactor.callWhenRunning(settings_watch.check)
--- a/foxtailproxy/lifecycle.py
+++ b/foxtailproxy/lifecycle.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import structlog
 from automat import TypeMachineBuilder
 from twisted.internet.defer import Deferred
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure
+
 log = structlog.get_logger()
 
 
@@ -65,3 +70,13 @@
 _closed.upon(LifecycleInputs.drained).loop().returns(None)
 
 build_lifecycle = _builder.build()
+
+
+def log_close_failure(failure: Failure, function: Callable[..., Any]) -> None:
+    """Log the error of a function that drains or closes a part of the node."""
+    log.error(
+        "close_failed",
+        function=getattr(function, "__qualname__", repr(function)),
+        error=repr(failure.value),
+        traceback=failure.getTraceback(),
+    )
--- a/foxtailproxy/node.py
+++ b/foxtailproxy/node.py
@@ -30,7 +30,7 @@
 from foxtailproxy.http.client_bounds import client_bounds
 from foxtailproxy.http.server import ServerFactory, ServerLimits
 from foxtailproxy.http.transport import accept_waiting_and_close
-from foxtailproxy.lifecycle import LifecycleState, build_lifecycle
+from foxtailproxy.lifecycle import LifecycleState, build_lifecycle, log_close_failure
 from foxtailproxy.load_exchange import LoadExchange
 from foxtailproxy.membership import MemberTable
 from foxtailproxy.metrics import Metrics
@@ -53,6 +53,8 @@
 from foxtailproxy.traffic_budget import TrafficBudget
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.defer import Deferred
     from twisted.internet.task import LoopingCall
 
@@ -486,16 +488,17 @@
             return self.state.closed
         self.lifecycle.drain()
         self._drain_started_ms = self.clock.now_ms()
-        self.caller_server.drain(
+        self._attempt(
+            self.caller_server.drain,
             self._drain_started_ms + self.settings.limits.leaving_notice_ms,
             self._drain_started_ms + self._drain_limit_ms(),
         )
-        self.target.leave()
-        self._gossip_local_record(state=MemberState.leaving)
-        self._caller_factory.close_after_responses()
-        self._accept_callers()
+        self._attempt(self.target.leave)
+        self._attempt(self._gossip_local_record, state=MemberState.leaving)
+        self._attempt(self._caller_factory.close_after_responses)
+        self._attempt(self._accept_callers)
         if not self.target.process_has_left:
-            ensureDeferred(self.registration.remove())  # type: ignore[arg-type]
+            self._attempt(self.registration.remove)
         self.clock.call_later(self.settings.limits.leaving_notice_ms, self._close_when_drained)
         return self.state.closed
 
@@ -529,29 +532,39 @@
     async def _close(self) -> None:
         # The upstream may send calls through this node until its last call has ended, so the
         # caller port stays open until then.
-        await self._close_server(self._caller_port, self._caller_factory)
+        await self._attempt(self._close_server, self._caller_port, self._caller_factory)
         for loop in self._loops:
-            loop.stop()
-        self._gossip_local_record(state=MemberState.dead)
-        await self._close_server(self._peer_port, self._peer_factory)
-        self.config_sync.close()
-        self.evacuations.close()
-        self.registration.close()
-        self.first_announcement.close()
-        self.freshness.close()
-        self.allowances.close()
-        self.gossip.close()
-        self.peer_server.close()
-        await DeferredList([maybeDeferred(port.stopListening) for port in self._ports])
+            await self._attempt(loop.stop)
+        await self._attempt(self._gossip_local_record, state=MemberState.dead)
+        await self._attempt(self._close_server, self._peer_port, self._peer_factory)
+        for close in (
+            self.config_sync.close,
+            self.evacuations.close,
+            self.registration.close,
+            self.first_announcement.close,
+            self.freshness.close,
+            self.allowances.close,
+            self.gossip.close,
+            self.peer_server.close,
+        ):
+            await self._attempt(close)
+        await DeferredList([self._attempt(port.stopListening) for port in self._ports])
         for factory in self._platform_factories:
-            factory.close_idle()
-            factory.close()
-        self._caller_factory.close()
-        self._peer_factory.close()
-        self.peers.close()
-        self.target.close()
+            await self._attempt(factory.close_idle)
+            await self._attempt(factory.close)
+        for close in (
+            self._caller_factory.close,
+            self._peer_factory.close,
+            self.peers.close,
+            self.target.close,
+        ):
+            await self._attempt(close)
         self.lifecycle.drained()
 
+    def _attempt(self, function: Callable[..., Any], *args: Any, **kwargs: Any) -> Deferred[Any]:
+        """Call a function that drains or closes a part; log its error, which ends nothing else."""
+        return maybeDeferred(function, *args, **kwargs).addErrback(log_close_failure, function)
+
     async def _close_server(self, port: Any, factory: ServerFactory) -> None:
         """Close a port and its connections, once what has arrived there is answered."""
         accept_waiting_and_close(port, LISTEN_BACKLOG)
--- a/foxtailproxy/tests/process.feature
+++ b/foxtailproxy/tests/process.feature
@@ -56,6 +56,24 @@
       | periodic call | later   |
       | work timer    | at once |
 
+  # Guards against a process that runs until the platform kills it.
+  Scenario Outline: A node stops in time although closing <part> fails
+    Given a node process in which closing <part> fails
+    When it serves and receives SIGTERM
+    Then it has ended within 5 s, and logged the failure
+
+    Examples:
+      | part                   |
+      | the caller server      |
+      | the target's queue     |
+      | the caller port        |
+      | the configuration      |
+      | the gossip             |
+      | the registration       |
+      | the caller connections |
+      | the target             |
+      | the settings watch     |
+
   Scenario: Logging to an unread pipe does not block and drops only lines beyond the buffer
     Given a log stream into a pipe that is not read
     When 20000 lines are logged
--- a/foxtailproxy/tests/steps/process.py
+++ b/foxtailproxy/tests/steps/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -43,6 +44,32 @@
 """
 """A node process that prints a line while it is still importing."""
 
+BROKEN_CLOSE_PROGRAM = """
+import importlib, sys
+module, owner, name, path = sys.argv[1:]
+def fail(*arguments):
+    raise RuntimeError("broken")
+target = importlib.import_module(module)
+setattr(getattr(target, owner) if owner else target, name, fail)
+sys.argv = ["foxtailproxy", "node", path]
+from foxtailproxy.__main__ import main
+main()
+"""
+"""A node process in which one function raises an error."""
+
+CLOSE_BY_PART = {
+    "the caller server": ("foxtailproxy.caller_server", "CallerServer", "drain"),
+    "the target's queue": ("foxtailproxy.target", "Target", "leave"),
+    "the caller port": ("foxtailproxy.http.transport", "", "accept_waiting_and_close"),
+    "the configuration": ("foxtailproxy.config_sync", "ConfigSync", "close"),
+    "the gossip": ("foxtailproxy.gossip", "Gossip", "close"),
+    "the registration": ("foxtailproxy.registration", "Registration", "close"),
+    "the caller connections": ("foxtailproxy.http.server", "ServerFactory", "close"),
+    "the target": ("foxtailproxy.target", "Target", "close"),
+    "the settings watch": ("foxtailproxy.settings_watch", "SettingsWatch", "close"),
+}
+"""Module, class and name of the function that closes each part."""
+
 
 @given("a watched settings file of a node")
 def step_watch_settings_file(context: Any) -> None:
@@ -99,6 +126,37 @@
     context.watch.close()
 
 
+@given("a node process in which closing {part} fails")
+def step_start_node_with_broken_part(context: Any, part: str) -> None:
+    path = Path(tempfile.mkdtemp()) / "node.ini"
+    text = VALID_SETTINGS_PATH.read_text(encoding="utf-8") + "leaving_notice_ms = 0\n"
+    keys = ("caller_port", "peer_port", "admin_port", "gossip_port")
+    for key, port in zip(keys, free_ports(len(keys)), strict=True):
+        text = re.sub(f"{key} = .*", f"{key} = {port}", text)
+    path.write_text(text)
+    command = [sys.executable, "-c", BROKEN_CLOSE_PROGRAM, *CLOSE_BY_PART[part], str(path)]
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+
+
+@when("it serves and receives SIGTERM")
+def step_stop_serving_node(context: Any) -> None:
+    while (line := context.process.stdout.readline()) and b"'node_serving'" not in line:
+        pass
+    time.sleep(SIGNAL_WAIT_S)
+    context.process.send_signal(signal.SIGTERM)
+
+
+@then("it has ended within {seconds:d} s, and logged the failure")
+def step_check_ended(context: Any, seconds: int) -> None:
+    try:
+        output, _ = context.process.communicate(timeout=seconds)
+    finally:
+        context.process.kill()
+        context.process.communicate()
+    assert b"event='close_failed'" in output, output.decode()
+    assert context.process.returncode == 0, context.process.returncode
+
+
 @given("a reactor that uses monotonic time")
 def step_create_reactor(context: Any) -> None:
     context.reactor = EPollReactor()
