Accept no member record that cannot be used or passed on

Cause: the schema of a member record takes any text as an address, port 0, an empty node id and numbers of any size. An incarnation that does not fit into 64 bits cannot be encoded by any node that passes the record on, and the node itself would adopt it as its own by a refutation. An entry with half a character or a deep nesting ended the join with an error of the decoder. Records are checked where they come from: in a listing or an answer of the store, and in each packet. The schema stays as it is, so that one such record in a packet of the previous release does not cost the others. A listing logs one line with the number of entries that were refused, a node one line a second on those in packets.

Members of the tests have IP addresses by default now; the claims' tests, whose fake goes by name, give theirs.

--- a/foxtailproxy/gossip.py
+++ b/foxtailproxy/gossip.py
@@ -8,9 +8,12 @@
 import math
 from typing import TYPE_CHECKING, Protocol
 
+import structlog
+
 from foxtailproxy.comparison import DIGEST_INTERVAL_MS, Comparison
 from foxtailproxy.failure_detector import PING_INTERVAL_MS, FailureDetector
 from foxtailproxy.gossip_socket import GossipSocket
+from foxtailproxy.membership import flaw_of
 from foxtailproxy.models.messages import (
     CrashReport,
     GossipPacket,
@@ -29,8 +32,13 @@
     from foxtailproxy.membership import MemberTable
     from foxtailproxy.traffic_budget import TrafficBudget
 
+log = structlog.get_logger()
+
 MS_PER_SECOND = 1000
 
+UNUSABLE_LOG_INTERVAL_MS = 1000
+"""Shortest interval between two log lines on records of peers that cannot be used."""
+
 PUSH_DELAY_MS = 20
 """Delay before a push, in which updates are collected."""
 
@@ -114,6 +122,8 @@
         self._config_rounds_left = 0
         self._relays_left = 0.0
         self._relays_left_ms = clock.now_ms()
+        self._unusable_unlogged = 0
+        self._unusable_logged_ms = -math.inf
         self._loops: list[LoopingCall] = []
 
     def start(self) -> None:
@@ -276,8 +286,23 @@
 
     def _merge_updates(self, packet: GossipPacket) -> None:
         for record in packet.members:
-            if self._table.merge(record) and packet.kind is not PacketKind.records:
+            flaw = flaw_of(record)
+            if flaw:
+                self._record_unusable(record, flaw)
+            elif self._table.merge(record) and packet.kind is not PacketKind.records:
                 self._relay(record)
         for report in packet.crashes:
             if self._listener.crash_report_received(report):
                 self.disseminate_crash(report)
+
+    def _record_unusable(self, record: MemberRecord, flaw: str) -> None:
+        """Log at intervals that peers sent records that cannot be used, with the latest one."""
+        self._unusable_unlogged += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._unusable_logged_ms < UNUSABLE_LOG_INTERVAL_MS:
+            return
+        log.warning(
+            "member_unusable", member=record.node_id, flaw=flaw, count=self._unusable_unlogged
+        )
+        self._unusable_unlogged = 0
+        self._unusable_logged_ms = now_ms
--- a/foxtailproxy/membership.py
+++ b/foxtailproxy/membership.py
@@ -9,6 +9,7 @@
 import structlog
 from msgspec.structs import replace
 
+from foxtailproxy.config.settings import is_ip
 from foxtailproxy.models.messages import MemberRecord, MemberState
 
 if TYPE_CHECKING:
@@ -31,6 +32,9 @@
 DEAD_RETENTION_MS = 600_000
 """Time for which the record of a dead node is kept, so that older records cannot revive it."""
 
+MAX_NUMBER = 2**62
+"""Highest incarnation or start of an upstream that is accepted; refutations and verdicts raise the
+incarnation, which must fit into 64 bits."""
 
 FINGERPRINT_BYTES = 5
 """Size of a record's fingerprint, in bytes."""
@@ -44,6 +48,20 @@
     return record.incarnation * STATE_COUNT + STATE_PRECEDENCE[record.state]
 
 
+def flaw_of(record: MemberRecord) -> str:
+    """Return why a record cannot be used or passed on; empty if it can."""
+    if not record.node_id:
+        return "no node id"
+    # The scope of an IPv6 address may hold any characters.
+    if not (is_ip(record.address) and record.address.isascii() and record.address.isprintable()):
+        return "address is no IP address"
+    if not record.peer_port or not record.gossip_port:
+        return "no port"
+    if max(record.incarnation, record.born_ms) > MAX_NUMBER:
+        return "number out of range"
+    return ""
+
+
 class MemberTable:
     """Records of all known nodes, including `local_record`, the record of this node.
 
--- a/foxtailproxy/registration.py
+++ b/foxtailproxy/registration.py
@@ -6,9 +6,11 @@
 
 import msgspec
 import structlog
+from expression import Error, Ok
 from twisted.internet.defer import Deferred, DeferredLock, ensureDeferred, succeed
 
 from foxtailproxy.back_off import back_off_ms
+from foxtailproxy.membership import flaw_of
 from foxtailproxy.models.messages import MemberRecord
 from foxtailproxy.storage.store_era import StoreEra
 from foxtailproxy.store import Conflict, Missing, Refused
@@ -142,10 +144,14 @@
         listing = await self._store.list_objects(MEMBER_KIND, stale)
         if listing.is_error():
             return False
+        flaw_by_path: dict[str, str] = {}
         for stored in listing.ok.objects:
-            record = _decode(stored.value)
-            if record is not None:
-                self._table.merge(record)
+            decoded = _decode(stored.value)
+            if decoded.is_ok():
+                self._table.merge(decoded.ok)
+            else:
+                flaw_by_path[stored.path] = decoded.error
+        _log_unusable(flaw_by_path)
         return True
 
     async def write(self) -> bool:
@@ -204,9 +210,12 @@
                 return isinstance(read.error, Missing)
             current = read.ok
         self._version, self._rises_before = current.version, rises
-        self._stored = _decode(current.value)
+        decoded = _decode(current.value)
+        self._stored = decoded.default_with(lambda flaw: None)
         if self._stored is not None:
             self._table.merge(self._stored)
+        else:
+            _log_unusable({self._path: decoded.error})
         return True
 
     def _record_write(self, record: MemberRecord, version: int, rises: int) -> None:
@@ -352,12 +361,20 @@
     return msgspec.json.encode(record).decode()
 
 
-def _decode(value: str) -> MemberRecord | None:
+def _decode(value: str) -> Result[MemberRecord, str]:
+    """Return the record in an entry, which may come from another writer, or why it has none."""
     try:
-        return msgspec.json.decode(value, type=MemberRecord)
-    except msgspec.MsgspecError as error:
-        log.warning("member_malformed", error=str(error))
-        return None
+        record = msgspec.json.decode(value, type=MemberRecord)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        return Error(str(error))
+    flaw = flaw_of(record)
+    return Error(flaw) if flaw else Ok(record)
+
+
+def _log_unusable(flaw_by_path: dict[str, str]) -> None:
+    """Log the entries of one answer that cannot be used, in one line with one of them."""
+    for path, flaw in list(flaw_by_path.items())[:1]:
+        log.warning("member_malformed", path=path, error=flaw, count=len(flaw_by_path))
 
 
 def _endpoint_of(record: MemberRecord) -> tuple[str, int, int]:
--- a/foxtailproxy/tests/claim_schedule.py
+++ b/foxtailproxy/tests/claim_schedule.py
@@ -69,7 +69,8 @@
         return self
 
     def _create_claims(self, name: str) -> Claims:
-        claims = Claims(self.clock, LIMITS, self.platform, self.peers, make_member(name))
+        member = make_member(name, address=name)
+        claims = Claims(self.clock, LIMITS, self.platform, self.peers, member)
         self.peers.runs_by_address[name] = claims.runs
         return claims
 
--- a/foxtailproxy/tests/fakes.py
+++ b/foxtailproxy/tests/fakes.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
+import zlib
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -36,6 +38,9 @@
 
 LIMITS = LimitsSection()
 
+FIRST_ADDRESS = int(IPv4Address("10.0.0.1"))
+ADDRESS_COUNT = 2**24 - 2
+
 
 def fake_clock() -> Clock:
     """Return a clock that moves only in `advance`."""
@@ -62,6 +67,11 @@
         structlog.configure(**suppressing)
 
 
+def address_of(node_id: str) -> str:
+    """Return the IP address of a member that is given none."""
+    return str(IPv4Address(FIRST_ADDRESS + zlib.crc32(node_id.encode()) % ADDRESS_COUNT))
+
+
 def make_member(node_id: str, **fields: Any) -> MemberRecord:
     """Return the membership record of a node, with `fields` replacing the defaults."""
     values: dict[str, Any] = {
@@ -70,7 +80,7 @@
         "state": MemberState.alive,
         "region": "pohja",
         "data_center": "tallinn-a",
-        "address": node_id,
+        "address": address_of(node_id),
         "peer_port": 1,
         "gossip_port": 1,
         "admin_port": 1,
--- a/foxtailproxy/tests/membership.feature
+++ b/foxtailproxy/tests/membership.feature
@@ -204,6 +204,23 @@
       | an unreachable network |
       | an oversized datagram  |
 
+  # Guards against members that no node can reach, told by a node of the previous release.
+  Scenario Outline: A record with <flaw> is not accepted from a peer, the others of its packet are
+    Given 4 nodes in 2 regions that know each other
+    When a node receives 20 packets within a second with a record that has <flaw>, and others
+    Then it knows the others only, and logged one line
+
+    Examples:
+      | flaw                            |
+      | unreadable bytes as its address |
+      | a host name as its address      |
+      | a null byte in its address      |
+      | no address                      |
+      | no node id                      |
+      | a gossip port of 0              |
+      | an incarnation of 64 bits       |
+      | a start of 64 bits              |
+
   Scenario: A damaged or oversized compressed packet is dropped and the node goes on
     Given 4 nodes in 2 regions that know each other
     When a node receives damaged, cut and oversized compressed packets
--- a/foxtailproxy/tests/steps/at_most_once.py
+++ b/foxtailproxy/tests/steps/at_most_once.py
@@ -73,7 +73,8 @@
     context.peers = FakePeers(context.clock, rng)
     context.claims = {}
     for name in ("a", "b"):
-        claims = Claims(context.clock, LIMITS, context.platform, context.peers, make_member(name))
+        member = make_member(name, address=name)
+        claims = Claims(context.clock, LIMITS, context.platform, context.peers, member)
         context.claims[name] = claims
         context.peers.runs_by_address[name] = claims.runs
 
--- a/foxtailproxy/tests/steps/evacuated_target.py
+++ b/foxtailproxy/tests/steps/evacuated_target.py
@@ -67,7 +67,9 @@
         era = context.era_by_node[name] = StoreEra(context.clock)
         link: Any = StoreLink(context.store, era)
         any_peers: Any = peers
-        claims = Claims(context.clock, LIMITS, link, any_peers, make_member(name), era)
+        claims = Claims(
+            context.clock, LIMITS, link, any_peers, make_member(name, address=name), era
+        )
         context.claims_by_node[name] = claims
         peers.runs_by_address[name] = claims.runs
         ensureDeferred(link.read("members/none"))
--- a/foxtailproxy/tests/steps/membership.py
+++ b/foxtailproxy/tests/steps/membership.py
@@ -38,6 +38,16 @@
 WINDOW_S = 10
 
 UNSENDABLE_ADDRESS = "10.9.9.9"
+FLAWED_FIELDS: dict[str, dict[str, Any]] = {
+    "unreadable bytes as its address": {"address": "\ufffd\u0001\ufffd"},
+    "a host name as its address": {"address": "sidecar-z"},
+    "a null byte in its address": {"address": "fe80::1%\0"},
+    "no address": {"address": ""},
+    "no node id": {"node_id": ""},
+    "a gossip port of 0": {"gossip_port": 0},
+    "an incarnation of 64 bits": {"incarnation": 2**64 - 1},
+    "a start of 64 bits": {"born_ms": 2**64 - 1},
+}
 SEND_ERRORS = {
     "an invalid address": InvalidAddressError(UNSENDABLE_ADDRESS, "not an IP address"),
     "an unreachable network": OSError(errno.ENETUNREACH, "Network is unreachable"),
@@ -141,6 +151,30 @@
     assert 0 < len(lines) <= len(context.nodes) * within / 1000, len(lines)
 
 
+@when("a node receives {count:d} packets within a second with a record that has {flaw}, and others")
+def step_receive_flawed_record(context: Any, count: int, flaw: str) -> None:
+    socket = context.nodes[SUBJECT].gossip.socket
+    context.known_ids = set(context.nodes[SUBJECT].table.by_id)
+    with captured_log() as context.entries:
+        for number in range(count):
+            members = [
+                make_member(f"before-{number}"),
+                make_member(**({"node_id": "flawed"} | FLAWED_FIELDS[flaw])),
+                make_member(f"after-{number}"),
+            ]
+            context.known_ids |= {f"before-{number}", f"after-{number}"}
+            packet = GossipPacket(PacketKind.push, "n1", number, members=members)
+            socket.datagramReceived(msgspec.msgpack.encode(packet), ("10.0.0.1", 1))
+            advance(context.clock, 1000 / count - 1, STEP_MS)
+
+
+@then("it knows the others only, and logged one line")
+def step_flawed_record_refused(context: Any) -> None:
+    known_ids = set(context.nodes[SUBJECT].table.by_id)
+    assert known_ids == context.known_ids, known_ids ^ context.known_ids
+    assert [entry["event"] for entry in context.entries].count("member_unusable") == 1
+
+
 @when("a node receives damaged, cut and oversized compressed packets")
 def step_receive_bad_packets(context: Any) -> None:
     whole = zlib.compress(bytes(1000))
@@ -423,7 +457,7 @@
     context.node.network.node_by_address.clear()
     context.node.gossip.close()
     for number in range(1, count + 1):
-        context.node.table.merge(make_member(f"n{number}", address=f"n{number}"))
+        context.node.table.merge(make_member(f"n{number}"))
 
 
 def _receive(node: GossipNode, packet: GossipPacket) -> None:
--- a/foxtailproxy/tests/steps/registration.py
+++ b/foxtailproxy/tests/steps/registration.py
@@ -16,13 +16,36 @@
 from foxtailproxy.platform.configuration import PlatformConfigSource
 from foxtailproxy.registration import MEMBER_KIND, Registration
 from foxtailproxy.store import Conflict, Missing, Refused, StoredObject, Unreachable
-from foxtailproxy.tests.fakes import FakePlatform, advance, fake_clock, make_member
+from foxtailproxy.tests.fakes import FakePlatform, advance, captured_log, fake_clock, make_member
 from standins.platform_configs import config_text
 
 LOCAL_RECORD_PATH = f"{MEMBER_KIND}/me"
 STALE_CALL_PRICE = 0.1
 OLDER_GENERATION = 3
 PREVIOUS_ADDRESS = "10.0.0.99"
+ADDRESS = "10.0.0.1"
+
+FLAWED_FIELDS: dict[str, dict[str, Any]] = {
+    "unreadable bytes as its address": {"address": "\ufffd\u0001\ufffd"},
+    "a host name as its address": {"address": "sidecar-z"},
+    "a null byte in its address": {"address": "fe80::1%\0"},
+    "no address": {"address": ""},
+    "no node id": {"node_id": ""},
+    "a peer port above 65535": {"peer_port": 65536},
+    "a gossip port below 0": {"gossip_port": -1},
+    "a gossip port of 0": {"gossip_port": 0},
+    "a state that is not named": {"state": "idle"},
+    "a service that is no text": {"service": 7},
+    "an incarnation of 64 bits": {"incarnation": 2**64 - 1},
+    "an incarnation of more bits": {"incarnation": 10**30},
+    "a start of more bits": {"born_ms": 10**30},
+}
+FLAWED_VALUES = {
+    "bytes that are no JSON": "\ufffd\u0001\ufffd",
+    "half a character": "\ud800",
+    "a deep nesting": '["z",1,"alive","p","d","10.0.0.9",1,1,1,"",0,"","",0,false' + ",[" * 10_000,
+}
+"""What records of another writer may hold."""
 
 
 class PricedStore(FakePlatform):
@@ -30,6 +53,7 @@
 
     total_price = 0.0
     read_count = 0
+    list_count = 0
     stale_objects: dict[str, StoredObject] = {}
     rejects_writes = False
     loses_answers = False
@@ -45,6 +69,7 @@
 
     async def list_objects(self, kind: str, stale: bool = False) -> Any:
         """List the objects of a kind."""
+        self.list_count += 1
         self.total_price += STALE_CALL_PRICE if stale else 1
         return await super().list_objects(kind, stale)
 
@@ -104,6 +129,34 @@
     context.clock.call_later(ms, end_fault)
 
 
+@given("a store with {count:d} records of another writer that have {flaw}")
+def step_store_with_flawed_records(context: Any, count: int, flaw: str) -> None:
+    context.clock = fake_clock()
+    context.store = PricedStore(context.clock, random.Random(1))
+    for number in range(count):
+        node_id = f"z-{number}"
+        value = FLAWED_VALUES.get(flaw)
+        if value is None:
+            fields = {"address": ADDRESS} | FLAWED_FIELDS[flaw]
+            fields["node_id"] = fields.get("node_id", node_id)
+            value = msgspec.json.encode(make_member(**fields)).decode()
+        context.store._apply(f"{MEMBER_KIND}/{node_id}", lambda existing: True, value)
+    _store_member(context.store, "other")
+
+
+@when("a node joins and its log is captured")
+def step_join_with_log(context: Any) -> None:
+    with captured_log() as context.entries:
+        step_join_and_refresh(context, 2000)
+
+
+@then("it knows no member but the others, and logged at most one line for each listing")
+def step_flawed_records_refused(context: Any) -> None:
+    assert context.member_table.by_id.keys() == {"me", "other"}, context.member_table.by_id
+    lines = [entry for entry in context.entries if entry["event"] == "member_malformed"]
+    assert 0 < len(lines) <= context.store.list_count, lines
+
+
 @when("a node joins and refreshes its record for {ms:d} ms")
 def step_join_and_refresh(context: Any, ms: int) -> None:
     context.previous_records = []
@@ -158,7 +211,7 @@
 class NodeProcess:
     """One process of a node, as far as it registers and knows its target."""
 
-    def __init__(self, clock: Any, store: PricedStore, number: int, address: str = "me") -> None:
+    def __init__(self, clock: Any, store: PricedStore, number: int, address: str = ADDRESS) -> None:
         me = make_member("me", address=address, incarnation=100 * number, boot_id=f"boot-{number}")
         self.table = MemberTable(
             clock, me, lambda record: None, lambda: None, self._read_earlier_record
@@ -202,7 +255,7 @@
     store.record_write_ms = 300 if fault == "is slow" else 0
 
 
-def _start_process(context: Any, number: int, address: str = "me") -> NodeProcess:
+def _start_process(context: Any, number: int, address: str = ADDRESS) -> NodeProcess:
     process = NodeProcess(context.clock, context.store, number, address)
     ensureDeferred(process.join())
     return process
@@ -233,12 +286,16 @@
     assert first <= after_ms <= last, after_ms
 
 
+def _address(described: str) -> str:
+    return ADDRESS if described == "the same address" else PREVIOUS_ADDRESS
+
+
 @then("a later process at {address} knows of the leaving, and so does the one after it")
 def step_later_processes_know(context: Any, address: str) -> None:
     fault = getattr(context, "fault_at_start", "answers")
     for number in (2, 3):
         _begin_fault(context.store, fault)
-        process = _start_process(context, number, "me" if address == "the same address" else "new")
+        process = _start_process(context, number, _address(address))
         advance(context.clock, 2000)
         _begin_fault(context.store, "answers")
         advance(context.clock, 20_000)
--- a/foxtailproxy/tests/store.feature
+++ b/foxtailproxy/tests/store.feature
@@ -118,6 +118,31 @@
       | holds an older record             | 0    | 1.11  |
       | holds a record of another address | 0    | 2.11  |
 
+  # Guards against members that no node can reach, which use up the pings and pushes of all nodes.
+  Scenario Outline: Records of another writer with <flaw> are not accepted from the store, the others are
+    Given a store with 40 records of another writer that have <flaw>
+    When a node joins and its log is captured
+    Then it knows no member but the others, and logged at most one line for each listing
+
+    Examples:
+      | flaw                            |
+      | unreadable bytes as its address |
+      | a host name as its address      |
+      | a null byte in its address      |
+      | no address                      |
+      | no node id                      |
+      | a peer port above 65535         |
+      | a gossip port below 0           |
+      | a gossip port of 0              |
+      | a state that is not named       |
+      | a service that is no text       |
+      | an incarnation of 64 bits       |
+      | an incarnation of more bits     |
+      | a start of more bits            |
+      | bytes that are no JSON          |
+      | half a character                |
+      | a deep nesting                  |
+
   # Otherwise processes that start later take the node that has left for a member.
   Scenario Outline: A node that leaves while its <write> takes effect late leaves no record behind
     Given a store that holds <held> and applies the writes of a record <delay> ms late
