--- a/foxtailproxy/tests/steps/process.py
+++ b/foxtailproxy/tests/steps/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -14,13 +15,14 @@
 
 import structlog
 from behave import given, then, when
+from twisted.internet.defer import fail
 from twisted.internet.epollreactor import EPollReactor
 
-from foxtailproxy.clock import use_monotonic_time
+from foxtailproxy.clock import WorkTimer, use_monotonic_time
 from foxtailproxy.config.settings import parse_settings
 from foxtailproxy.logs import EventSampler, LogStream
 from foxtailproxy.settings_watch import SettingsWatch
-from foxtailproxy.tests.fakes import advance, fake_clock
+from foxtailproxy.tests.fakes import advance, captured_log, fake_clock
 from standins.fleet import ADDRESS, free_ports
 
 VALID_SETTINGS_PATH = Path(__file__).parents[1] / "data" / "node-valid.ini"
@@ -28,6 +30,7 @@
 
 TIMER_TOLERANCE_S = 1.0
 SIGNAL_WAIT_S = 0.3
+FAILURES = 2
 
 SLOW_IMPORT_PROGRAM = """
 import sys, time, types
@@ -41,6 +44,32 @@
 """
 """A node process that prints a line while it is still importing."""
 
+BROKEN_CLOSE_PROGRAM = """
+import importlib, sys
+module, owner, name, path = sys.argv[1:]
+def fail(*arguments):
+    raise RuntimeError("broken")
+target = importlib.import_module(module)
+setattr(getattr(target, owner) if owner else target, name, fail)
+sys.argv = ["foxtailproxy", "node", path]
+from foxtailproxy.__main__ import main
+main()
+"""
+"""A node process in which one function raises an error."""
+
+CLOSE_BY_PART = {
+    "the caller server": ("foxtailproxy.caller_server", "CallerServer", "drain"),
+    "the target's queue": ("foxtailproxy.target", "Target", "leave"),
+    "the caller port": ("foxtailproxy.http.transport", "", "accept_waiting_and_close"),
+    "the configuration": ("foxtailproxy.config_sync", "ConfigSync", "close"),
+    "the gossip": ("foxtailproxy.gossip", "Gossip", "close"),
+    "the registration": ("foxtailproxy.registration", "Registration", "close"),
+    "the caller connections": ("foxtailproxy.http.server", "ServerFactory", "close"),
+    "the target": ("foxtailproxy.target", "Target", "close"),
+    "the settings watch": ("foxtailproxy.settings_watch", "SettingsWatch", "close"),
+}
+"""Module, class and name of the function that closes each part."""
+
 
 @given("a watched settings file of a node")
 def step_watch_settings_file(context: Any) -> None:
@@ -97,6 +126,37 @@
     context.watch.close()
 
 
+@given("a node process in which closing {part} fails")
+def step_start_node_with_broken_part(context: Any, part: str) -> None:
+    path = Path(tempfile.mkdtemp()) / "node.ini"
+    text = VALID_SETTINGS_PATH.read_text(encoding="utf-8") + "leaving_notice_ms = 0\n"
+    keys = ("caller_port", "peer_port", "admin_port", "gossip_port")
+    for key, port in zip(keys, free_ports(len(keys)), strict=True):
+        text = re.sub(f"{key} = .*", f"{key} = {port}", text)
+    path.write_text(text)
+    command = [sys.executable, "-c", BROKEN_CLOSE_PROGRAM, *CLOSE_BY_PART[part], str(path)]
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+
+
+@when("it serves and receives SIGTERM")
+def step_stop_serving_node(context: Any) -> None:
+    while (line := context.process.stdout.readline()) and b"'node_serving'" not in line:
+        pass
+    time.sleep(SIGNAL_WAIT_S)
+    context.process.send_signal(signal.SIGTERM)
+
+
+@then("it has ended within {seconds:d} s, and logged the failure")
+def step_check_ended(context: Any, seconds: int) -> None:
+    try:
+        output, _ = context.process.communicate(timeout=seconds)
+    finally:
+        context.process.kill()
+        context.process.communicate()
+    assert b"event='close_failed'" in output, output.decode()
+    assert context.process.returncode == 0, context.process.returncode
+
+
 @given("a reactor that uses monotonic time")
 def step_create_reactor(context: Any) -> None:
     context.reactor = EPollReactor()
@@ -178,6 +238,48 @@
     assert still_running, context.process.returncode
 
 
+@given("a {timer} every {interval:d} ms whose work fails {how} twice")
+def step_start_failing_timer(context: Any, timer: str, interval: int, how: str) -> None:
+    context.clock = fake_clock()
+    context.work_count = 0
+
+    def work() -> Any:
+        context.work_count += 1
+        if context.work_count > FAILURES:
+            return True
+        if how == "later":
+            return fail(OSError("broken"))
+        raise OSError("broken")
+
+    if timer == "work timer":
+        work_timer = WorkTimer(context.clock, interval, work)
+        work_timer.wake()
+        context.stop_timer = work_timer.close
+    else:
+        context.stop_timer = context.clock.repeat(interval, work).stop
+
+
+@when("the timer has run for {ms:d} ms")
+def step_pass_time(context: Any, ms: int) -> None:
+    with captured_log() as context.entries:
+        advance(context.clock, ms)
+
+
+@then("the work was done {count:d} times, and {errors:d} errors were logged")
+def step_check_work(context: Any, count: int, errors: int) -> None:
+    assert context.work_count == count, context.work_count
+    events = [entry["event"] for entry in context.entries]
+    assert events == errors * ["timer_failed"], context.entries
+
+
+@then("it is not done any more once the timer is stopped")
+def step_check_timer_stopped(context: Any) -> None:
+    done = context.work_count
+    context.stop_timer()
+    advance(context.clock, 1000)
+    assert context.work_count == done
+
+
 @given("a log stream into a pipe that is not read")
 def step_open_unread_pipe(context: Any) -> None:
     context.read_end, write_end = os.pipe()
